Add the design page, the build, and the wire codecs

The repository was empty. This adds the design with the alternatives weighed, a locked build with formatter, linter and tests, addresses, the key ring, connection ids, the forward header, member records and the manifest models.

--- /dev/null
+++ b/src/cranberryhold/addresses.py
@@ -0,0 +1,58 @@
+"""IPv4 address and port of a process."""
+
+import socket
+import struct
+from dataclasses import dataclass
+
+from cranberryhold.exceptions import AddressError
+
+_PORT = struct.Struct("!H")
+
+PACKED_BYTES = 6
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class Address:
+    """An IPv4 address and a port.
+
+    >>> Address.parse("127.0.0.1:4433").pack().hex()
+    '7f0000011151'
+
+    :param ip: dotted IPv4 number.
+    :param port: 0 to 65535.
+    """
+
+    ip: str
+    port: int
+
+    @classmethod
+    def parse(cls, text: str) -> "Address":
+        """Read ``IPv4:port``.
+
+        :raises AddressError: if the text has another form.
+        """
+        ip, separator, port = text.rpartition(":")
+        try:
+            socket.inet_pton(socket.AF_INET, ip)
+            number = int(port)
+        except (OSError, ValueError):
+            number = -1
+        if not separator or not 0 <= number <= 65535:
+            raise AddressError(
+                f"{text!r} is not an address: write an IPv4 number and a port, "
+                "such as 127.0.0.1:4433",
+                step="parse address",
+            )
+        return cls(ip, number)
+
+    @classmethod
+    def unpack(cls, data: bytes) -> "Address":
+        """Read the 6 bytes that :meth:`pack` wrote."""
+        return cls(socket.inet_ntoa(data[:4]), int.from_bytes(data[4:6], "big"))
+
+    def pack(self) -> bytes:
+        """Return the IPv4 number (4 bytes) and the port (2), in network order."""
+        return socket.inet_aton(self.ip) + _PORT.pack(self.port)
+
+    def __str__(self) -> str:
+        return f"{self.ip}:{self.port}"
--- /dev/null
+++ b/src/cranberryhold/clock.py
@@ -0,0 +1,42 @@
+"""Time as the decisions see it, so that tests can drive them in virtual time."""
+
+import asyncio
+import time
+from typing import Protocol
+
+
+class Clock(Protocol):
+    """A source of time; all values are seconds."""
+
+    def monotonic(self) -> float:
+        """Return a time that never goes back; its origin is arbitrary."""
+
+    def wall(self) -> float:
+        """Return the time since the Unix epoch."""
+
+    async def sleep(self, seconds: float) -> None:
+        """Wait for this long."""
+
+
+class SystemClock:
+    """The clock of the running event loop.
+
+    Monotonic time is the event loop's, so that a loop that runs in virtual time
+    moves this clock too. Wall time is the loop's time plus the offset measured
+    when the clock was made.
+    """
+
+    def __init__(self) -> None:
+        self._offset = time.time() - time.monotonic()
+
+    def monotonic(self) -> float:
+        """Return the event loop's time in seconds."""
+        return asyncio.get_running_loop().time()
+
+    def wall(self) -> float:
+        """Return seconds since the Unix epoch, advancing with the loop's time."""
+        return self.monotonic() + self._offset
+
+    async def sleep(self, seconds: float) -> None:
+        """Wait for this many seconds of the loop's time."""
+        await asyncio.sleep(seconds)
--- /dev/null
+++ b/src/cranberryhold/members.py
@@ -0,0 +1,150 @@
+"""Member records and the table of members that one process believes in."""
+
+from dataclasses import dataclass, replace
+from enum import IntEnum
+
+from reactivex import Observable
+from reactivex.subject import Subject
+
+from cranberryhold.addresses import Address
+
+FULL_WEIGHT = 100
+
+
+class Role(IntEnum):
+    """What a member does."""
+
+    ENTRY = 0
+    SIDECAR = 1
+
+
+class MemberState(IntEnum):
+    """What is believed of a member; higher states win at equal versions."""
+
+    ALIVE = 0
+    SUSPECT = 1
+    LEAVING = 2
+    DOWN = 3
+
+
+@dataclass(frozen=True, slots=True)
+class Member:
+    """One process of the system, as others see it.
+
+    :param node_id: unique name of the instance, kept across restarts.
+    :param role: entry instance or sidecar.
+    :param zone: data centre, from the settings.
+    :param region: region of the zone, from the settings.
+    :param control_address: where its control datagrams arrive; zmq uses the
+        TCP port of the same number.
+    :param forward_address: where forwarded packets arrive.
+    :param service: name of the service it serves; empty for entry instances.
+    :param weight: share of new flows, 0 (none) to 100.
+    :param incarnation: start time in units of 10 ms, modulo 2^32.
+    :param state: what the reporter believes.
+    :param version: grows with each change that the member itself announces.
+    """
+
+    node_id: str
+    role: Role
+    zone: str
+    region: str
+    control_address: Address
+    forward_address: Address
+    service: str = ""
+    weight: int = FULL_WEIGHT
+    incarnation: int = 0
+    state: MemberState = MemberState.ALIVE
+    version: int = 0
+
+    @property
+    def accepts_new_flows(self) -> bool:
+        """Whether first packets may be sent to this member.
+
+        A suspect keeps its place until it is declared down, so that a frozen
+        process or a lossy link does not empty a service.
+        """
+        return self.weight > 0 and self.state <= MemberState.SUSPECT
+
+    def supersedes(self, other: "Member") -> bool:
+        """Whether this record is newer than another of the same node."""
+        return self._order > other._order
+
+    @property
+    def _order(self) -> tuple[int, int, int]:
+        return (self.incarnation, self.version, self.state)
+
+    def with_state(self, state: MemberState) -> "Member":
+        """Return a copy that is believed to be in another state."""
+        return replace(self, state=state)
+
+
+@dataclass(frozen=True, slots=True)
+class MemberChange:
+    """A change of the table; ``before`` is None for a new member."""
+
+    before: Member | None
+    after: Member
+
+
+class MemberTable:
+    """The newest record of each member, with a stream of changes.
+
+    Each record that supersedes the one held replaces it and is sent to
+    ``changes``; other records change nothing.
+    """
+
+    def __init__(self) -> None:
+        self._members: dict[str, Member] = {}
+        self._by_service: dict[str, dict[str, Member]] = {}
+        self._changes: Subject[MemberChange] = Subject()
+
+    @property
+    def changes(self) -> Observable[MemberChange]:
+        """Stream of all changes, in the order in which they were merged."""
+        return self._changes
+
+    def __len__(self) -> int:
+        return len(self._members)
+
+    def __iter__(self):
+        return iter(self._members.values())
+
+    def get(self, node_id: str) -> Member | None:
+        """Return the record of a node, or None."""
+        return self._members.get(node_id)
+
+    def merge(self, member: Member) -> bool:
+        """Take a record if it is newer than the one held; return whether it was."""
+        before = self._members.get(member.node_id)
+        if before is not None and not member.supersedes(before):
+            return False
+        self._members[member.node_id] = member
+        self._index(before, member)
+        self._changes.on_next(MemberChange(before, member))
+        return True
+
+    def forget(self, node_id: str) -> None:
+        """Remove a record, for example one that has been down for long."""
+        member = self._members.pop(node_id, None)
+        if member is not None:
+            self._by_service[member.service].pop(node_id, None)
+
+    def of_service(self, service: str) -> list[Member]:
+        """Return the sidecars of a service, in the order of their node ids."""
+        return sorted(
+            self._by_service.get(service, {}).values(), key=lambda m: m.node_id
+        )
+
+    def entries(self) -> list[Member]:
+        """Return the entry instances that are not down or leaving."""
+        return [
+            m
+            for m in self._by_service.get("", {}).values()
+            if m.role is Role.ENTRY and m.state <= MemberState.SUSPECT
+        ]
+
+    def _index(self, before: Member | None, member: Member) -> None:
+        if before is not None and before.service != member.service:
+            self._by_service[before.service].pop(member.node_id, None)
+        self._by_service.setdefault(member.service, {})[member.node_id] = member
--- /dev/null
+++ b/src/cranberryhold/packets.py
@@ -0,0 +1,128 @@
+"""What the system reads of a packet: QUIC's invariant header and our forward header.
+
+Source: RFC 8999 (invariants of QUIC) and RFC 9000, section 17.2 (packet types of
+version 1).
+"""
+
+import struct
+from dataclasses import dataclass
+from enum import Enum
+
+from cryptography.hazmat.primitives.ciphers import Cipher
+from cryptography.hazmat.primitives.ciphers.algorithms import AES
+from cryptography.hazmat.primitives.ciphers.modes import ECB
+
+from cranberryhold.addresses import Address
+from cranberryhold.connection_ids import CONNECTION_ID_BYTES
+from cranberryhold.keys import KeyRing
+
+MINIMUM_INITIAL_BYTES = 1200
+FORWARD_HEADER_BYTES = 17
+_FORWARD = struct.Struct("!6s6sI")
+_LONG_HEADER = 0x80
+_FIXED_BIT = 0x40
+_TYPE_BITS = 0x30
+_VERSION_1 = 1
+_VERSION_2 = 0x6B3343CF
+# Type bits of an Initial packet, by version (RFC 9000 17.2, RFC 9369 3.2).
+_INITIAL_BITS = {_VERSION_1: 0x00, _VERSION_2: 0x10}
+
+
+def read_connection_id(packet: bytes) -> bytes | None:
+    """Return the destination connection id, or None if the packet is too short.
+
+    A short header carries no length, so the 20 bytes of our own ids are assumed.
+    """
+    if not packet:
+        return None
+    if not packet[0] & _LONG_HEADER:
+        end = 1 + CONNECTION_ID_BYTES
+        return packet[1:end] if len(packet) >= end else None
+    if len(packet) < 6:
+        return None
+    end = 6 + packet[5]
+    return packet[6:end] if packet[5] <= 20 and len(packet) >= end else None
+
+
+def is_first_packet(packet: bytes) -> bool:
+    """Whether the packet may open a connection.
+
+    That is an Initial packet of at least 1,200 bytes whose connection id has at
+    least 8 bytes (RFC 9000, sections 7.2 and 14.1), or a long header of a version
+    that the target answers with version negotiation.
+    """
+    if len(packet) < MINIMUM_INITIAL_BYTES or not packet[0] & _LONG_HEADER:
+        return False
+    if packet[5] < 8:
+        return False
+    version = int.from_bytes(packet[1:5], "big")
+    if version == 0:
+        return False
+    initial = _INITIAL_BITS.get(version)
+    if initial is None:
+        return True
+    return bool(packet[0] & _FIXED_BIT) and packet[0] & _TYPE_BITS == initial
+
+
+class Direction(Enum):
+    """Direction of a forwarded packet; each has a key of its own."""
+
+    TO_TARGET = b"forward to target"
+    TO_CALLER = b"forward to caller"
+
+
+@dataclass(frozen=True, slots=True)
+class Forwarded:
+    """A forwarded QUIC packet.
+
+    :param caller: address of the caller.
+    :param service_address: address of the service, as in the manifest.
+    :param packet: the QUIC packet, unchanged.
+    """
+
+    caller: Address
+    service_address: Address
+    packet: bytes
+
+
+class ForwardCodec:
+    """Adds and removes the header of 17 bytes between entry and target.
+
+    The header is the key id (1) and one AES-128 block: caller (6), service
+    address (6), four zero bytes. It keeps a target from being made to answer
+    anyone, and an entry instance from being an open reflector.
+    """
+
+    def __init__(self, keys: KeyRing, direction: Direction) -> None:
+        self._key_id = bytes((keys.issuing_id,))
+        ciphers = {
+            key_id: Cipher(AES(keys.derive(direction.value, key_id)), ECB())
+            for key_id in keys.key_ids
+        }
+        self._encrypt = ciphers[keys.issuing_id].encryptor()
+        self._decrypt = {i: cipher.decryptor() for i, cipher in ciphers.items()}
+
+    def header(self, caller: Address, service_address: Address) -> bytes:
+        """Return the 17 bytes that go before a packet."""
+        return self.header_for(caller.pack(), service_address.pack())
+
+    def header_for(self, caller: bytes, service_address: bytes) -> bytes:
+        """Return the header for two packed addresses of 6 bytes each."""
+        block = _FORWARD.pack(caller, service_address, 0)
+        return self._key_id + self._encrypt.update(block)
+
+    def decode(self, datagram: bytes) -> Forwarded | None:
+        """Return the packet inside, or None if the header is not authentic."""
+        if len(datagram) <= FORWARD_HEADER_BYTES:
+            return None
+        decryptor = self._decrypt.get(datagram[0])
+        if decryptor is None:
+            return None
+        caller, service, check = _FORWARD.unpack(decryptor.update(datagram[1:17]))
+        if check:
+            return None
+        return Forwarded(
+            Address.unpack(caller),
+            Address.unpack(service),
+            datagram[FORWARD_HEADER_BYTES:],
+        )
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Demo, benchmark, experiments and slopes."""
--- /dev/null
+++ b/tools/measures/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments; each module has ``tables(seed: int) -> list[Table]``."""
