--- /dev/null
+++ b/src/cranberryhold/exchange.py
@@ -0,0 +1,90 @@
+"""A request and its response, independent of the protocol that carries them."""
+
+from collections.abc import AsyncIterator, Callable
+from contextlib import AbstractAsyncContextManager
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+OUTCOME_HEADER = "cranberryhold-outcome"
+IDEMPOTENCY_HEADER = "idempotency-key"
+DEADLINE_HEADER = "cranberryhold-deadline-ms"
+KEY_PATH = "/.well-known/cranberryhold/idempotency-key"
+
+Headers = tuple[tuple[str, str], ...]
+
+
+class Outcome(StrEnum):
+    """What a response that did not come from the upstream says of the request."""
+
+    NOT_RUN = "not-run"
+    UNKNOWN = "unknown"
+
+
+async def empty_body() -> AsyncIterator[bytes]:
+    """Return a body without bytes."""
+    return
+    yield b""
+
+
+async def bytes_body(data: bytes) -> AsyncIterator[bytes]:
+    """Return a body of one chunk."""
+    if data:
+        yield data
+
+
+@dataclass(slots=True)
+class Request:
+    """A request as it arrived.
+
+    :param method: HTTP method.
+    :param path: path with query.
+    :param headers: lower-case names and values, without pseudo-headers.
+    :param body: the body's chunks; can be read once.
+    :param deadline: time of the clock's monotonic scale by which the answer is due.
+    :param passed_on: whether a peer has already passed the request on.
+    """
+
+    method: str
+    path: str
+    headers: Headers = ()
+    body: AsyncIterator[bytes] = field(default_factory=empty_body)
+    deadline: float = float("inf")
+    passed_on: bool = False
+
+    def header(self, name: str) -> str | None:
+        """Return the first value of a header, or None."""
+        return first_header(self.headers, name)
+
+
+@dataclass(slots=True)
+class Response:
+    """A response; the body can be read once, inside the handler's context."""
+
+    status: int
+    headers: Headers = ()
+    body: AsyncIterator[bytes] = field(default_factory=empty_body)
+
+    @property
+    def outcome(self) -> Outcome | None:
+        """What the response says of the request if it is the system's own."""
+        value = first_header(self.headers, OUTCOME_HEADER)
+        return Outcome(value) if value else None
+
+
+Handler = Callable[[Request], AbstractAsyncContextManager[Response]]
+"""Answers a request; leaving the context early cancels it."""
+
+
+def first_header(headers: Headers, name: str) -> str | None:
+    """Return the first value of a header, or None."""
+    return next((value for key, value in headers if key == name), None)
+
+
+def refusal(status: int, outcome: Outcome, reason: str, *more: tuple[str, str]):
+    """Return the system's own response, with its outcome and a readable reason."""
+    headers = (
+        (OUTCOME_HEADER, outcome.value),
+        ("content-type", "text/plain; charset=utf-8"),
+        *more,
+    )
+    return Response(status, headers, bytes_body(f"{reason}\n".encode()))
