Add the request pipeline with admission, offers and idempotency keys

Cause: a sidecar needs one handler that decides class, deadline, key and slot of each request before the upstream sees it.

Change: RequestPipeline with its parts (admission, pool, idempotency, keyed runs, bodies). Request gains offer_id, the slot that a target offered to the peer that passes the request.

Waiting times and the reserve for short work have not been measured yet.

--- /dev/null
+++ b/src/cranberryhold/admission.py
@@ -0,0 +1,301 @@
+"""Admission of requests to the slots of one upstream.
+
+Short requests go first, and long ones leave free as many slots as the recent
+short work needs. A request that could not be answered by its deadline is refused
+at once, while its caller still has time to turn elsewhere.
+"""
+
+import asyncio
+import math
+from collections import Counter, deque
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+
+from cranberryhold.clock import Clock
+from cranberryhold.exceptions import NotRunError
+from cranberryhold.manifest import ClassKind, RequestClass
+
+OFFER_LIFE_S = 0.2
+_STEP = "admit"
+_DEMAND_WINDOW_S = 5.0
+_NO_DEMAND = 0.01
+_SERVICE_TIME_GAIN = 0.1
+# A long request that short ones have kept waiting for this long takes the next
+# slot, if no other long one runs: uploads slow down at a peak but do not stop.
+_LONG_PATIENCE_S = 5.0
+# The reserve shrinks without an event, so waiting long requests look again.
+_RECHECK_S = 0.1
+
+
+@dataclass(frozen=True, slots=True)
+class Load:
+    """How busy a target is."""
+
+    running: int
+    waiting: int
+    slots: int
+
+    @property
+    def busy(self) -> float:
+        """Requests present for each slot; 1 and more means that none is free."""
+        return (self.running + self.waiting) / max(1, self.slots)
+
+
+@dataclass(eq=False, slots=True)
+class Lease:
+    """A slot in use; :meth:`release` may be called more than once."""
+
+    request_class: RequestClass
+    started_at: float
+    _on_release: Callable[["Lease"], None]
+    is_held: bool = True
+
+    def release(self) -> None:
+        """Give the slot back."""
+        if self.is_held:
+            self.is_held = False
+            self._on_release(self)
+
+
+@dataclass(eq=False, slots=True)
+class _Waiter:
+    request_class: RequestClass
+    since: float
+    granted: asyncio.Future[Lease]
+
+
+@dataclass(slots=True)
+class _Offer:
+    lease: Lease
+    timer: asyncio.TimerHandle
+
+
+@dataclass(slots=True)
+class _ServiceTimes:
+    """Mean service times in seconds, by class and by kind; 0 until measured."""
+
+    means: dict[object, float] = field(default_factory=dict)
+
+    def add(self, request_class: RequestClass, seconds: float) -> None:
+        for key in (request_class.name, request_class.kind):
+            before = self.means.get(key, seconds)
+            self.means[key] = before + _SERVICE_TIME_GAIN * (seconds - before)
+
+    def of(self, key: object) -> float:
+        return self.means.get(key, 0.0)
+
+
+class Admission:
+    """The slots of one upstream and the requests that wait for them.
+
+    :param slots: returns the number of slots, which a manifest may change.
+    :param clock: source of time.
+    """
+
+    def __init__(self, slots: Callable[[], int], clock: Clock) -> None:
+        self._slots = slots
+        self._clock = clock
+        self._running: Counter[ClassKind] = Counter()
+        self._queues = {kind: deque[_Waiter]() for kind in ClassKind}
+        self._waiting: Counter[str] = Counter()
+        self._times = _ServiceTimes()
+        self._demand = 0.0
+        self._demand_at = 0.0
+        self._offers: dict[int, _Offer] = {}
+        self._last_offer = 0
+        self._refused: Counter[str] = Counter()
+
+    @property
+    def load(self) -> Load:
+        """How busy this target is."""
+        waiting = sum(len(queue) for queue in self._queues.values())
+        return Load(self._running.total(), waiting, self._slots())
+
+    @property
+    def reserved(self) -> int:
+        """Slots that long requests leave free for short ones."""
+        demand = self._short_demand()
+        if demand < _NO_DEMAND:
+            return 0
+        return min(self._slots() - 1, math.ceil(demand + math.sqrt(demand)))
+
+    def state(self) -> dict[str, object]:
+        """Return what a state dump shows."""
+        return {
+            "slots": self._slots(),
+            "reserved": self.reserved,
+            "running": {str(k): n for k, n in self._running.items() if n},
+            "waiting": {k: n for k, n in self._waiting.items() if n},
+            "offers": len(self._offers),
+            "refused": dict(self._refused),
+        }
+
+    @asynccontextmanager
+    async def slot(
+        self, request_class: RequestClass, deadline: float, offer_id: int = 0
+    ) -> AsyncIterator[Lease]:
+        """Hold a slot; waits for one.
+
+        :param deadline: monotonic time by which the answer is due.
+        :param offer_id: an offer made earlier, or 0.
+        :raises NotRunError: if the answer can't be given by the deadline or the
+            queue is full; the message gives the reason.
+        """
+        lease = await self.enter(request_class, deadline, offer_id)
+        try:
+            yield lease
+        finally:
+            lease.release()
+
+    async def enter(
+        self, request_class: RequestClass, deadline: float, offer_id: int = 0
+    ) -> Lease:
+        """Return a slot that the caller releases; see :meth:`slot`."""
+        lease = self._take_offer(offer_id) or self.try_enter(request_class)
+        if lease is not None:
+            return lease
+        self._check(request_class, deadline)
+        waiter = _Waiter(
+            request_class,
+            self._clock.monotonic(),
+            asyncio.get_running_loop().create_future(),
+        )
+        queue = self._queues[request_class.kind]
+        queue.append(waiter)
+        self._waiting[request_class.name] += 1
+        try:
+            await self._wait(waiter, deadline)
+        except BaseException:
+            if waiter.granted.done():
+                waiter.granted.result().release()
+            raise
+        finally:
+            self._waiting[request_class.name] -= 1
+            if not waiter.granted.done():
+                queue.remove(waiter)
+                self._dispatch()
+        return waiter.granted.result()
+
+    def try_enter(self, request_class: RequestClass) -> Lease | None:
+        """Return a slot if one is free that no waiting request may use."""
+        self._dispatch()
+        if self._queues[request_class.kind] or not self._may_start(request_class.kind):
+            return None
+        return self._start(request_class)
+
+    def offer(self, request_class: RequestClass) -> int:
+        """Reserve a slot for a peer for 200 ms; return the offer's id or 0."""
+        lease = self.try_enter(request_class)
+        if lease is None:
+            return 0
+        self._last_offer += 1
+        offer_id = self._last_offer
+        timer = asyncio.get_running_loop().call_later(
+            OFFER_LIFE_S, self.withdraw, offer_id
+        )
+        self._offers[offer_id] = _Offer(lease, timer)
+        return offer_id
+
+    def withdraw(self, offer_id: int) -> None:
+        """Free the slot of an offer that was not taken up."""
+        offer = self._offers.pop(offer_id, None)
+        if offer is not None:
+            offer.timer.cancel()
+            self._free(offer.lease)
+
+    def _take_offer(self, offer_id: int) -> Lease | None:
+        offer = self._offers.pop(offer_id, None)
+        if offer is None:
+            return None
+        offer.timer.cancel()
+        offer.lease.started_at = self._clock.monotonic()
+        return offer.lease
+
+    def _check(self, request_class: RequestClass, deadline: float) -> None:
+        if self._waiting[request_class.name] >= request_class.queue_limit:
+            self._refuse(request_class, "the queue is full")
+        due = self._clock.monotonic() + self._expected_wait(request_class.kind)
+        if due + self._times.of(request_class.name) > deadline:
+            self._refuse(request_class, "the deadline would pass in the queue")
+
+    def _refuse(self, request_class: RequestClass, reason: str) -> None:
+        self._refused[request_class.name] += 1
+        self._note_demand(request_class)
+        raise NotRunError(f"not run: {reason}", step=_STEP)
+
+    def _expected_wait(self, kind: ClassKind) -> float:
+        ahead = len(self._queues[kind])
+        mean, slots = self._times.of(kind), self._slots()
+        long_running = self._running[ClassKind.LONG]
+        if kind is ClassKind.LONG:
+            return (ahead + 1) * mean / max(1, slots - self.reserved)
+        if slots > long_running:
+            return (ahead + 1) * mean / (slots - long_running)
+        first_free = self._times.of(ClassKind.LONG) / max(1, long_running)
+        return first_free + ahead * mean
+
+    async def _wait(self, waiter: _Waiter, deadline: float) -> None:
+        request_class = waiter.request_class
+        latest = deadline - self._times.of(request_class.name)
+        while not waiter.granted.done():
+            left = latest - self._clock.monotonic()
+            if left <= 0:
+                self._refuse(request_class, "the deadline came too close in the queue")
+            if request_class.kind is ClassKind.LONG:
+                left = min(left, _RECHECK_S)
+            timeout = None if math.isinf(left) else left
+            await asyncio.wait({waiter.granted}, timeout=timeout)
+            self._dispatch()
+
+    def _may_start(self, kind: ClassKind) -> bool:
+        if self._running.total() >= self._slots():
+            return False
+        long_limit = self._slots() - self.reserved
+        return kind is ClassKind.SHORT or self._running[ClassKind.LONG] < long_limit
+
+    def _dispatch(self) -> None:
+        while (queue := self._next_queue()) is not None:
+            waiter = queue.popleft()
+            waiter.granted.set_result(self._start(waiter.request_class))
+
+    def _next_queue(self) -> deque[_Waiter] | None:
+        shorts, longs = self._queues[ClassKind.SHORT], self._queues[ClassKind.LONG]
+        if longs and self._is_starved(longs[0]):
+            return longs
+        if shorts and self._may_start(ClassKind.SHORT):
+            return shorts
+        return longs if longs and self._may_start(ClassKind.LONG) else None
+
+    def _is_starved(self, waiter: _Waiter) -> bool:
+        waited = self._clock.monotonic() - waiter.since
+        return (
+            waited > _LONG_PATIENCE_S
+            and not self._running[ClassKind.LONG]
+            and self._running.total() < self._slots()
+        )
+
+    def _start(self, request_class: RequestClass) -> Lease:
+        self._running[request_class.kind] += 1
+        self._note_demand(request_class)
+        return Lease(request_class, self._clock.monotonic(), self._finish)
+
+    def _finish(self, lease: Lease) -> None:
+        self._times.add(lease.request_class, self._clock.monotonic() - lease.started_at)
+        self._free(lease)
+
+    def _free(self, lease: Lease) -> None:
+        lease.is_held = False
+        self._running[lease.request_class.kind] -= 1
+        self._dispatch()
+
+    def _note_demand(self, request_class: RequestClass) -> None:
+        if request_class.kind is ClassKind.SHORT:
+            work = self._times.of(request_class.name)
+            self._demand = self._short_demand() + work / _DEMAND_WINDOW_S
+            self._demand_at = self._clock.monotonic()
+
+    def _short_demand(self) -> float:
+        """Recent short work in slots: seconds of work for each second."""
+        age = self._clock.monotonic() - self._demand_at
+        return self._demand * math.exp(-age / _DEMAND_WINDOW_S)
--- a/src/cranberryhold/exceptions.py
+++ b/src/cranberryhold/exceptions.py
@@ -82,3 +82,11 @@
 
 class OutcomeUnknownError(CranberryholdError):
     """A request was lost after it may have started to run."""
+
+
+class DeadlinePassedError(OutcomeUnknownError):
+    """The deadline of a request passed after it may have started to run."""
+
+
+class BodyTooLargeError(OutcomeUnknownError):
+    """A body exceeded its limit after the request may have started to run."""
--- a/src/cranberryhold/exchange.py
+++ b/src/cranberryhold/exchange.py
@@ -42,6 +42,7 @@
     :param body: the body's chunks; can be read once.
     :param deadline: time of the clock's monotonic scale by which the answer is due.
     :param passed_on: whether a peer has already passed the request on.
+    :param offer_id: the slot that this target offered to that peer, or 0.
     """
 
     method: str
@@ -50,6 +51,7 @@
     body: AsyncIterator[bytes] = field(default_factory=empty_body)
     deadline: float = float("inf")
     passed_on: bool = False
+    offer_id: int = 0
 
     def header(self, name: str) -> str | None:
         """Return the first value of a header, or None."""
--- /dev/null
+++ b/src/cranberryhold/keyed_runs.py
@@ -0,0 +1,211 @@
+"""Runs of requests with an idempotency key, at the target that the key names.
+
+A run goes on when its caller leaves, since only its end tells what to answer to
+a repeat.
+"""
+
+import asyncio
+from collections.abc import AsyncIterator, Callable
+from contextlib import AbstractAsyncContextManager, asynccontextmanager
+
+from cranberryhold.bodies import RequestBody, seconds_left
+from cranberryhold.clock import Clock
+from cranberryhold.exceptions import (
+    CranberryholdError,
+    DeadlinePassedError,
+    NotRunError,
+    OutcomeUnknownError,
+)
+from cranberryhold.exchange import (
+    Headers,
+    Request,
+    Response,
+    bytes_body,
+)
+from cranberryhold.idempotency import (
+    MAX_ANSWER_BYTES,
+    Answer,
+    IdempotencyKey,
+    Record,
+    RecordState,
+    RecordTable,
+)
+
+RAN_HEADER = "cranberryhold-ran"
+"""Status of a first answer that was too large to be kept for a repeat."""
+_CHUNKS_AHEAD = 16
+_END = None
+
+Run = Callable[[Request], AbstractAsyncContextManager[Response]]
+
+
+class _AnswerStream:
+    """Hands the answer of a run to the caller, if it is still there."""
+
+    def __init__(self) -> None:
+        self._head = asyncio.get_running_loop().create_future()
+        self._chunks: asyncio.Queue[bytes | Exception | None] = asyncio.Queue(
+            _CHUNKS_AHEAD
+        )
+        self._is_abandoned = False
+
+    async def head(self) -> tuple[int, Headers]:
+        return await asyncio.shield(self._head)
+
+    async def body(self) -> AsyncIterator[bytes]:
+        while (chunk := await self._chunks.get()) is not _END:
+            if isinstance(chunk, Exception):
+                raise chunk
+            yield chunk
+
+    def begin(self, status: int, headers: Headers) -> None:
+        self._head.set_result((status, headers))
+
+    async def put(self, chunk: bytes | Exception | None) -> None:
+        if not self._is_abandoned:
+            await self._chunks.put(chunk)
+
+    async def fail(self, error: Exception) -> None:
+        if self._head.done():
+            await self.put(error)
+        else:
+            self._head.set_exception(error)
+            self._head.exception()
+
+    def abandon(self) -> None:
+        self._is_abandoned = True
+        while not self._chunks.empty():
+            self._chunks.get_nowait()
+
+
+class KeyedRuns:
+    """Runs each keyed request at most once and answers its repeats.
+
+    :param table: the records of this target.
+    """
+
+    def __init__(self, table: RecordTable, clock: Clock) -> None:
+        self._table = table
+        self._clock = clock
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    @property
+    def running(self) -> int:
+        """Runs in progress, with those whose caller has left."""
+        return len(self._tasks)
+
+    def has_run(self, key: IdempotencyKey) -> bool:
+        """Whether the request of a key has started.
+
+        :raises OutcomeUnknownError: if the life of the key has ended.
+        """
+        return self._table.find(key) is not None
+
+    async def wait(self) -> None:
+        """Wait until no run is in progress."""
+        while self._tasks:
+            await asyncio.wait(self._tasks)
+
+    @asynccontextmanager
+    async def answer(
+        self, key: IdempotencyKey, request: Request, body: RequestBody, run: Run
+    ) -> AsyncIterator[Response]:
+        """Run the request, or answer from the record of its first run.
+
+        :param body: the request's body, from which its digest is taken.
+        :raises NotRunError: if the request has certainly not run.
+        :raises OutcomeUnknownError: if it may have run.
+        """
+        record = self._table.find(key)
+        if record is not None:
+            yield await self._repeat(key, record, request, body)
+            return
+        record = self._table.open(key, _head(request))
+        stream = _AnswerStream()
+        task = asyncio.create_task(self._run(record, request, body, run, stream))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        try:
+            status, headers = await stream.head()
+            yield Response(status, headers, stream.body())
+        finally:
+            stream.abandon()
+
+    async def _run(
+        self,
+        record: Record,
+        request: Request,
+        body: RequestBody,
+        run: Run,
+        stream: _AnswerStream,
+    ) -> None:
+        try:
+            async with run(request) as response:
+                kept = await _copy(response, stream)
+                record.digest = body.digest
+                answer = Answer(response.status, response.headers, kept)
+                self._table.close_answered(record, answer)
+                await stream.put(_END)
+        except NotRunError as error:
+            self._table.close_not_run(record)
+            await stream.fail(error)
+        except CranberryholdError as error:
+            self._table.close_unknown(record)
+            await stream.fail(error)
+        except Exception as error:
+            self._table.close_unknown(record)
+            lost = OutcomeUnknownError(f"the run ended: {error!r}", step="run request")
+            await stream.fail(lost)
+        finally:
+            if record.state is RecordState.RUNNING:
+                self._table.close_unknown(record)
+
+    async def _repeat(
+        self,
+        key: IdempotencyKey,
+        record: Record,
+        request: Request,
+        body: RequestBody,
+    ) -> Response:
+        await body.discard()
+        while record.done is not None:
+            timeout = seconds_left(request.deadline, self._clock)
+            done, _ = await asyncio.wait({record.done}, timeout=timeout)
+            if not done:
+                raise DeadlinePassedError(
+                    "the first run of this key has not ended", step="wait for run"
+                )
+            record = self._table.find(key) or record
+        if record.state is RecordState.NOT_RUN:
+            raise NotRunError("not run: nor was the first try", step="wait for run")
+        if not record.matches(_head(request), body.digest or b""):
+            return Response(
+                422, (), bytes_body(b"another request has used this idempotency key\n")
+            )
+        if record.answer is None:
+            raise OutcomeUnknownError(
+                "the first run of this key was lost", step="wait for run"
+            )
+        return _repeated(record.answer)
+
+
+def _repeated(answer: Answer) -> Response:
+    if answer.body is not None:
+        return Response(answer.status, answer.headers, bytes_body(answer.body))
+    text = f"the request has run; its answer {answer.status} was too large to keep\n"
+    return Response(409, ((RAN_HEADER, str(answer.status)),), bytes_body(text.encode()))
+
+
+async def _copy(response: Response, stream: _AnswerStream) -> bytes | None:
+    """Hand the answer to the caller; return its body if it can be kept."""
+    stream.begin(response.status, response.headers)
+    kept = bytearray()
+    async for chunk in response.body:
+        if len(kept) <= MAX_ANSWER_BYTES:
+            kept += chunk
+        await stream.put(chunk)
+    return bytes(kept) if len(kept) <= MAX_ANSWER_BYTES else None
+
+
+def _head(request: Request) -> str:
+    return f"{request.method} {request.path}"
--- /dev/null
+++ b/tests/requests_support.py
@@ -0,0 +1,174 @@
+"""Stand-ins for the upstream and the peers of a target, in one process."""
+
+import asyncio
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from random import Random
+
+from cranberryhold.addresses import Address
+from cranberryhold.clock import SystemClock
+from cranberryhold.connection_ids import TargetRef
+from cranberryhold.exceptions import OutcomeUnknownError, PeerError
+from cranberryhold.exchange import Request, Response, bytes_body
+from cranberryhold.keys import KeyRing
+from cranberryhold.manifest import ClassKind, RequestClass, Service
+from cranberryhold.members import Member, Role
+from cranberryhold.pipeline import RequestPipeline
+from cranberryhold.pool import Pool, SlotAnswer
+
+RING = KeyRing({1: bytes(range(32))})
+SHORT = RequestClass(name="short")
+LONG = RequestClass(
+    name="long", kind=ClassKind.LONG, path_prefix="/upload", deadline_s=600
+)
+FEED = RequestClass(name="feed", kind=ClassKind.FEED, path_prefix="/feed")
+ONCE = RequestClass(
+    name="once",
+    methods=("POST",),
+    path_prefix="/lines",
+    at_most_once=True,
+    max_body_bytes=200_000,
+)
+
+
+def service(slots: int = 2, **more: object) -> Service:
+    """Return a service with one class of each kind."""
+    return Service(
+        name="khata-core",
+        addresses=("127.0.0.1:4433",),
+        slots_per_target=slots,
+        classes=(LONG, FEED, ONCE, SHORT),
+        **more,
+    )
+
+
+class Upstream:
+    """Counts what reaches it; answers with the request's own path and body.
+
+    :param seconds: service time.
+    :param answer: bytes that follow the body in the answer.
+    """
+
+    def __init__(self, seconds: float = 0.1, answer: bytes = b"") -> None:
+        self.seconds = seconds
+        self.extra = answer
+        self.started: list[str] = []
+        self.finished: list[str] = []
+        self.headers: tuple[tuple[str, str], ...] = ()
+        self.error: Exception | None = None
+
+    @asynccontextmanager
+    async def __call__(self, request: Request) -> AsyncIterator[Response]:
+        if self.error is not None:
+            raise self.error
+        self.started.append(request.path)
+        body = b"".join([chunk async for chunk in request.body])
+        await asyncio.sleep(self.seconds)
+        self.finished.append(request.path)
+        text = f"{request.method} {request.path} ".encode() + body
+        yield Response(200, self.headers, _chunks(text, self.extra))
+
+
+async def _chunks(*parts: bytes) -> AsyncIterator[bytes]:
+    for part in parts:
+        yield part
+
+
+class FakePeers:
+    """Links pipelines of one process, with a delay each way.
+
+    :param delay: seconds one way.
+    """
+
+    def __init__(self, delay: float = 0.004) -> None:
+        self.delay = delay
+        self.members: list[Member] = []
+        self.pipelines: dict[str, RequestPipeline] = {}
+        self.lost: set[str] = set()
+
+    async def ask(self, peer: Member, request_class: str) -> SlotAnswer:
+        await asyncio.sleep(self.delay)
+        if peer.node_id in self.lost:
+            raise PeerError("lost", peer=peer.node_id)
+        answer = self.pipelines[peer.node_id].answer_ask(request_class)
+        await asyncio.sleep(self.delay)
+        return answer
+
+    def withdraw(self, peer: Member, offer_id: int) -> None:
+        self.pipelines[peer.node_id].withdraw_offer(offer_id)
+
+    @asynccontextmanager
+    async def pass_request(
+        self, peer: Member, request: Request, offer_id: int
+    ) -> AsyncIterator[Response]:
+        request.offer_id = offer_id
+        await asyncio.sleep(self.delay)
+        if peer.node_id in self.lost:
+            raise PeerError("lost", peer=peer.node_id)
+        async with self.pipelines[peer.node_id](request) as response:
+            await asyncio.sleep(self.delay)
+            if peer.node_id in self.lost:
+                raise OutcomeUnknownError("lost", peer=peer.node_id)
+            yield response
+
+
+class Fleet:
+    """Targets of one service, with pipelines that know each other."""
+
+    def __init__(
+        self, size: int, source: Callable[[], Service], seconds: float = 0.1
+    ) -> None:
+        self.clock = SystemClock()
+        self.peers = FakePeers()
+        self.upstreams = [Upstream(seconds) for _ in range(size)]
+        self.pipelines: list[RequestPipeline] = []
+        self.pools: list[Pool] = []
+        for number in range(size):
+            self._add(number, source)
+
+    def _add(self, number: int, source: Callable[[], Service]) -> None:
+        address = Address("127.0.0.1", 5000 + number)
+        member = Member(
+            f"t{number}",
+            Role.SIDECAR,
+            f"z{number % 3}",
+            "r",
+            Address("127.0.0.1", 6000 + number),
+            address,
+            service="khata-core",
+            incarnation=100 + number,
+        )
+        self.peers.members.append(member)
+        pool = Pool(
+            lambda: self.peers.members,
+            member.node_id,
+            member.zone,
+            self.peers,
+            self.clock,
+            Random(number),
+        )
+        pipeline = RequestPipeline(
+            source,
+            TargetRef(address, source().service_id, member.incarnation),
+            RING,
+            self.clock,
+            self.upstreams[number],
+            pool,
+        )
+        self.pools.append(pool)
+        self.pipelines.append(pipeline)
+        self.peers.pipelines[member.node_id] = pipeline
+
+
+def post(path: str, body: bytes = b"", *headers: tuple[str, str]) -> Request:
+    """Return a POST request."""
+    return Request("POST", path, headers, bytes_body(body))
+
+
+async def answer(
+    pipeline: RequestPipeline, request: Request
+) -> tuple[int, str | None, bytes]:
+    """Return status, outcome and body of the answer to a request."""
+    async with pipeline(request) as response:
+        body = b"".join([chunk async for chunk in response.body])
+        return response.status, response.outcome, body
