--- /dev/null
+++ b/src/cranberryhold/gateway.py
@@ -0,0 +1,230 @@
+"""HTTP/3 at the sidecar: one task per connection, one per request."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from dataclasses import dataclass, field
+
+from aioquic.asyncio.protocol import QuicConnectionProtocol
+from aioquic.h3.connection import ErrorCode, H3Connection
+from aioquic.h3.events import DataReceived, H3Event, HeadersReceived
+from aioquic.quic.connection import QuicConnection
+from aioquic.quic.events import (
+    ConnectionTerminated,
+    QuicEvent,
+    StopSendingReceived,
+    StreamReset,
+)
+from loguru import logger
+
+from cranberryhold.exchange import Handler, Headers, Outcome, Request, Response, refusal
+from cranberryhold.quic import MAX_VARINT_STREAM_ID, send_goaway, unsent_bytes
+
+SEND_BUFFER_BYTES = 256 * 1024
+_CONNECTION_HEADERS = frozenset(
+    {"connection", "keep-alive", "proxy-connection", "transfer-encoding", "upgrade"}
+)
+
+
+class RequestAbandonedError(Exception):
+    """The caller reset the stream or closed the connection."""
+
+
+@dataclass(eq=False, slots=True)
+class _Stream:
+    """A request in progress."""
+
+    stream_id: int
+    chunks: asyncio.Queue[bytes | None] = field(default_factory=asyncio.Queue)
+    task: asyncio.Task[None] | None = None
+    answered: bool = False
+    received_all: bool = False
+
+    async def body(self) -> AsyncIterator[bytes]:
+        """Yield the request's body until its end."""
+        while (chunk := await self.chunks.get()) is not None:
+            yield chunk
+
+    def receive(self, data: bytes, ended: bool) -> None:
+        """Add a piece of the body."""
+        if data:
+            self.chunks.put_nowait(data)
+        if ended and not self.received_all:
+            self.received_all = True
+            self.chunks.put_nowait(None)
+
+
+class Gateway(QuicConnectionProtocol):
+    """One HTTP/3 connection of a caller.
+
+    Each request is answered by ``handler`` in a task of its own. A request that
+    its caller abandons is cancelled there.
+
+    :param quic: the connection.
+    :param handler: answers requests.
+    """
+
+    def __init__(self, quic: QuicConnection, handler: Handler) -> None:
+        super().__init__(quic)
+        self._handler = handler
+        self._h3 = H3Connection(quic)
+        self._events: asyncio.Queue[QuicEvent] = asyncio.Queue()
+        self._streams: dict[int, _Stream] = {}
+        self._progress = asyncio.Event()
+        self._next_stream_id = 0
+        self._refuse_from = MAX_VARINT_STREAM_ID
+        self._task = asyncio.ensure_future(self._serve_connection())
+
+    @property
+    def running(self) -> int:
+        """Number of requests in progress."""
+        return len(self._streams)
+
+    @property
+    def peer(self) -> str:
+        """Address of the caller, for logs."""
+        paths = self._quic._network_paths
+        return "{}:{}".format(*paths[0].addr[:2]) if paths else ""
+
+    def announce_shutdown(self) -> None:
+        """Tell the caller to send new requests elsewhere; refuse none yet."""
+        self._goaway(MAX_VARINT_STREAM_ID)
+
+    def refuse_new_requests(self) -> None:
+        """Refuse all requests that have not arrived yet, as not run."""
+        self._refuse_from = self._next_stream_id
+        self._goaway(self._refuse_from)
+
+    def close_if_idle(self) -> bool:
+        """Close the connection if no request is in progress."""
+        if self._streams:
+            return False
+        self.close(error_code=ErrorCode.H3_NO_ERROR)
+        return True
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        """Take a packet of the caller."""
+        super().datagram_received(data, addr)
+        self._progress.set()
+
+    def quic_event_received(self, event: QuicEvent) -> None:
+        """Queue an event for the connection's task."""
+        self._events.put_nowait(event)
+
+    def _goaway(self, stream_id: int) -> None:
+        send_goaway(self._h3, self._quic, stream_id)
+        self.transmit()
+
+    async def _serve_connection(self) -> None:
+        while True:
+            event = await self._events.get()
+            if isinstance(event, ConnectionTerminated):
+                break
+            if isinstance(event, StreamReset | StopSendingReceived):
+                self._abandon(event.stream_id)
+            for h3_event in self._h3.handle_event(event):
+                self._take(h3_event)
+        self._progress.set()
+        for stream_id in list(self._streams):
+            self._abandon(stream_id)
+
+    def _take(self, event: H3Event) -> None:
+        if isinstance(event, HeadersReceived) and event.stream_id not in self._streams:
+            self._start(event)
+        elif isinstance(event, HeadersReceived | DataReceived):
+            stream = self._streams.get(event.stream_id)
+            if stream is not None:
+                data = event.data if isinstance(event, DataReceived) else b""
+                stream.receive(data, event.stream_ended)
+
+    def _start(self, event: HeadersReceived) -> None:
+        if event.stream_id < self._next_stream_id:
+            return  # Trailers of a request that has been answered already.
+        if event.stream_id >= self._refuse_from:
+            self._reject(event.stream_id)
+            return
+        self._next_stream_id = event.stream_id + 4
+        stream = _Stream(event.stream_id)
+        stream.receive(b"", event.stream_ended)
+        self._streams[event.stream_id] = stream
+        stream.task = asyncio.ensure_future(self._serve_request(stream, event.headers))
+
+    def _reject(self, stream_id: int) -> None:
+        # RFC 9114, section 4.1.1: a request rejected so has not been processed.
+        self._quic.reset_stream(stream_id, ErrorCode.H3_REQUEST_REJECTED)
+        self._quic.stop_stream(stream_id, ErrorCode.H3_REQUEST_REJECTED)
+        self.transmit()
+
+    def _abandon(self, stream_id: int) -> None:
+        stream = self._streams.get(stream_id)
+        if stream is not None and stream.task is not None:
+            stream.task.cancel()
+
+    async def _serve_request(
+        self, stream: _Stream, raw_headers: list[tuple[bytes, bytes]]
+    ) -> None:
+        try:
+            async with self._handler(_request(raw_headers, stream)) as response:
+                await self._send(stream, response)
+        except (asyncio.CancelledError, RequestAbandonedError):
+            self._reset(stream, ErrorCode.H3_REQUEST_CANCELLED)
+        except Exception:
+            logger.opt(exception=True).error("request_failed peer={}", self.peer)
+            await self._fail(stream)
+        finally:
+            self._streams.pop(stream.stream_id, None)
+
+    async def _fail(self, stream: _Stream) -> None:
+        if stream.answered:
+            self._reset(stream, ErrorCode.H3_INTERNAL_ERROR)
+        else:
+            await self._send(
+                stream, refusal(500, Outcome.UNKNOWN, "internal error of the sidecar")
+            )
+
+    async def _send(self, stream: _Stream, response: Response) -> None:
+        headers = [(b":status", str(response.status).encode())]
+        headers += [(k.encode(), v.encode("latin-1")) for k, v in response.headers]
+        stream.answered = True
+        self._h3.send_headers(stream.stream_id, headers)
+        self.transmit()
+        async for chunk in response.body:
+            await self._wait_for_room(stream.stream_id)
+            self._h3.send_data(stream.stream_id, chunk, end_stream=False)
+            self.transmit()
+        self._h3.send_data(stream.stream_id, b"", end_stream=True)
+        if not stream.received_all:
+            # The answer came before the whole request; RFC 9114, section 4.1.
+            self._quic.stop_stream(stream.stream_id, ErrorCode.H3_NO_ERROR)
+        self.transmit()
+
+    async def _wait_for_room(self, stream_id: int) -> None:
+        while unsent_bytes(self._quic, stream_id) > SEND_BUFFER_BYTES:
+            if self._closed.is_set():
+                raise RequestAbandonedError
+            self._progress.clear()
+            await self._progress.wait()
+
+    def _reset(self, stream: _Stream, code: int) -> None:
+        if not self._closed.is_set():
+            self._quic.reset_stream(stream.stream_id, code)
+            if not stream.received_all:
+                self._quic.stop_stream(stream.stream_id, code)
+            self.transmit()
+
+
+def _request(raw_headers: list[tuple[bytes, bytes]], stream: _Stream) -> Request:
+    pairs = [(k.decode("latin-1"), v.decode("latin-1")) for k, v in raw_headers]
+    pseudo = dict(pair for pair in pairs if pair[0].startswith(":"))
+    headers: Headers = tuple(
+        (name, value)
+        for name, value in pairs
+        if not name.startswith(":") and name not in _CONNECTION_HEADERS
+    )
+    if ":authority" in pseudo and all(name != "host" for name, _ in headers):
+        headers = (("host", pseudo[":authority"]), *headers)
+    return Request(
+        method=pseudo.get(":method", "GET"),
+        path=pseudo.get(":path", "/"),
+        headers=headers,
+        body=stream.body(),
+    )
--- /dev/null
+++ b/src/cranberryhold/quic.py
@@ -0,0 +1,216 @@
+"""Adapter to aioquic: connections whose ids name this target.
+
+aioquic has no hook for choosing connection ids, so this module sets attributes
+that are private to the pinned version. ``tests/test_quic.py`` fails when a new
+version moves them.
+"""
+
+import os
+from collections.abc import Callable
+from functools import partial
+
+from aioquic.asyncio.protocol import QuicConnectionProtocol
+from aioquic.buffer import Buffer
+from aioquic.h3.connection import FrameType, H3Connection, encode_frame
+from aioquic.quic.configuration import QuicConfiguration
+from aioquic.quic.connection import QuicConnection, QuicConnectionId
+from aioquic.quic.packet import (
+    QuicHeader,
+    QuicPacketType,
+    encode_quic_version_negotiation,
+    pull_quic_header,
+)
+
+from cranberryhold.connection_ids import (
+    CONNECTION_ID_BYTES,
+    ConnectionIdCodec,
+    TargetRef,
+)
+from cranberryhold.packets import is_first_packet
+
+STATELESS_RESET_TOKEN_BYTES = 16
+MAX_ACTIVE_CONNECTION_IDS = 8
+MAX_VARINT_STREAM_ID = 2**62 - 4
+
+NetworkAddress = tuple[str, int]
+SendPacket = Callable[[bytes, NetworkAddress], None]
+CreateProtocol = Callable[[QuicConnection], QuicConnectionProtocol]
+
+
+class RoutedQuicConnection(QuicConnection):
+    """A server connection that issues ids from a given source.
+
+    :param issue_connection_id: returns a new id of 20 bytes.
+    :param configuration: TLS and transport settings.
+    :param original_destination_connection_id: id chosen by the caller.
+    """
+
+    def __init__(
+        self,
+        *,
+        issue_connection_id: Callable[[], bytes],
+        configuration: QuicConfiguration,
+        original_destination_connection_id: bytes,
+    ) -> None:
+        super().__init__(
+            configuration=configuration,
+            original_destination_connection_id=original_destination_connection_id,
+        )
+        self._issue_connection_id = issue_connection_id
+        first = issue_connection_id()
+        self._host_cids[0].cid = first
+        self.host_cid = first
+        self._local_initial_source_connection_id = first
+
+    def _replenish_connection_ids(self) -> None:
+        limit = min(MAX_ACTIVE_CONNECTION_IDS, self._remote_active_connection_id_limit)
+        while len(self._host_cids) < limit:
+            self._host_cids.append(
+                QuicConnectionId(
+                    cid=self._issue_connection_id(),
+                    sequence_number=self._host_cid_seq,
+                    stateless_reset_token=os.urandom(STATELESS_RESET_TOKEN_BYTES),
+                )
+            )
+            self._host_cid_seq += 1
+
+
+class SidecarQuicServer:
+    """Dispatches packets to the connections of one target.
+
+    :param target: what the issued connection ids name.
+    :param codec: encodes connection ids.
+    :param configuration: TLS and transport settings of a server; its connection
+        id length is set to 20.
+    :param send: sends a packet back towards a caller.
+    :param create_protocol: makes the protocol object of a new connection.
+    """
+
+    def __init__(
+        self,
+        *,
+        target: TargetRef,
+        codec: ConnectionIdCodec,
+        configuration: QuicConfiguration,
+        send: SendPacket,
+        create_protocol: CreateProtocol,
+    ) -> None:
+        self._target = target
+        self._codec = codec
+        configuration.connection_id_length = CONNECTION_ID_BYTES
+        self._configuration = configuration
+        self._transport = _SendOnlyTransport(send)
+        self._create_protocol = create_protocol
+        self._by_id: dict[bytes, QuicConnectionProtocol] = {}
+        self._connections: set[QuicConnectionProtocol] = set()
+        self._serial = int.from_bytes(os.urandom(2), "big")
+        self.accepts_new = True
+
+    @property
+    def connections(self) -> frozenset[QuicConnectionProtocol]:
+        """The connections that are open."""
+        return frozenset(self._connections)
+
+    def knows(self, connection_id: bytes | None) -> bool:
+        """Whether an open connection uses this id."""
+        return connection_id in self._by_id
+
+    def receive(self, packet: bytes, caller: NetworkAddress) -> bool:
+        """Hand a packet to its connection; return False if it was dropped."""
+        try:
+            header = pull_quic_header(
+                Buffer(data=packet), host_cid_length=CONNECTION_ID_BYTES
+            )
+        except ValueError:
+            return False
+        protocol = self._by_id.get(header.destination_cid)
+        if protocol is None:
+            protocol = self._open(header, packet, caller)
+        if protocol is None:
+            return False
+        protocol.datagram_received(packet, caller)
+        return True
+
+    def close(self) -> None:
+        """Close all connections."""
+        for protocol in list(self._connections):
+            protocol.close()
+
+    def _open(
+        self, header: QuicHeader, packet: bytes, caller: NetworkAddress
+    ) -> QuicConnectionProtocol | None:
+        if not self.accepts_new or not is_first_packet(packet):
+            return None
+        if header.version not in self._configuration.supported_versions:
+            self._transport.sendto(
+                encode_quic_version_negotiation(
+                    source_cid=header.destination_cid,
+                    destination_cid=header.source_cid,
+                    supported_versions=self._configuration.supported_versions,
+                ),
+                caller,
+            )
+            return None
+        if header.packet_type != QuicPacketType.INITIAL:
+            return None
+        connection = RoutedQuicConnection(
+            issue_connection_id=self._issue,
+            configuration=self._configuration,
+            original_destination_connection_id=header.destination_cid,
+        )
+        protocol = self._create_protocol(connection)
+        protocol.connection_made(self._transport)
+        protocol._connection_id_issued_handler = partial(self._add_id, protocol)
+        protocol._connection_id_retired_handler = self._remove_id
+        protocol._connection_terminated_handler = partial(self._remove, protocol)
+        self._connections.add(protocol)
+        self._by_id[header.destination_cid] = protocol
+        self._by_id[connection.host_cid] = protocol
+        return protocol
+
+    def _issue(self) -> bytes:
+        while True:
+            self._serial += 1
+            connection_id = self._codec.encode(self._target, self._serial)
+            if connection_id not in self._by_id:
+                return connection_id
+
+    def _add_id(self, protocol: QuicConnectionProtocol, connection_id: bytes) -> None:
+        self._by_id[connection_id] = protocol
+
+    def _remove_id(self, connection_id: bytes) -> None:
+        self._by_id.pop(connection_id, None)
+
+    def _remove(self, protocol: QuicConnectionProtocol) -> None:
+        self._connections.discard(protocol)
+        for connection_id in [i for i, p in self._by_id.items() if p is protocol]:
+            del self._by_id[connection_id]
+
+
+class _SendOnlyTransport:
+    """The part of a datagram transport that aioquic's protocol uses."""
+
+    def __init__(self, send: SendPacket) -> None:
+        self.sendto = send
+
+    def close(self) -> None:
+        """Do nothing; the socket belongs to the sidecar."""
+
+
+def send_goaway(h3: H3Connection, quic: QuicConnection, stream_id: int) -> None:
+    """Send GOAWAY: requests on this stream id or above will not be processed.
+
+    Source: RFC 9114, section 5.2. :data:`MAX_VARINT_STREAM_ID` announces a shutdown
+    without refusing requests that are already on their way.
+    """
+    payload = Buffer(capacity=8)
+    payload.push_uint_var(stream_id)
+    quic.send_stream_data(
+        h3._local_control_stream_id, encode_frame(FrameType.GOAWAY, payload.data)
+    )
+
+
+def unsent_bytes(quic: QuicConnection, stream_id: int) -> int:
+    """Return the bytes of a stream that the peer has not acknowledged yet."""
+    stream = quic._streams.get(stream_id)
+    return len(stream.sender._buffer) if stream is not None else 0
--- /dev/null
+++ b/src/cranberryhold/sidecar.py
@@ -0,0 +1,243 @@
+"""The sidecar: ends the callers' connections beside one upstream instance."""
+
+import asyncio
+import hashlib
+import random
+from collections import Counter
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+from aioquic.h3.connection import H3_ALPN
+from aioquic.quic.configuration import QuicConfiguration
+from aioquic.quic.connection import QuicConnection
+
+from cranberryhold.addresses import Address
+from cranberryhold.clock import Clock
+from cranberryhold.connection_ids import ConnectionIdCodec, TargetRef
+from cranberryhold.exchange import Handler
+from cranberryhold.gateway import Gateway
+from cranberryhold.keys import KeyRing
+from cranberryhold.manifest import Service
+from cranberryhold.members import Member, MemberTable
+from cranberryhold.packets import (
+    Direction,
+    ForwardCodec,
+    is_first_packet,
+    read_connection_id,
+)
+from cranberryhold.quic import SidecarQuicServer
+from cranberryhold.return_paths import ReturnPaths
+
+IDLE_TIMEOUT_S = 60.0
+# A connection whose last request has ended gets this long to close by itself
+# before a draining sidecar closes it.
+DRAIN_POLL_S = 0.1
+
+
+class Sidecar(asyncio.DatagramProtocol):
+    """Receives forwarded packets and answers the requests inside.
+
+    :param target: address, service and incarnation of this target.
+    :param zone: own zone.
+    :param node_id: own node id.
+    :param service: name of the service.
+    :param keys: key ring of the deployment.
+    :param members: the members believed in.
+    :param clock: source of time.
+    :param configuration: TLS certificate and transport settings.
+    :param handler: answers requests.
+    """
+
+    def __init__(
+        self,
+        *,
+        target: TargetRef,
+        zone: str,
+        node_id: str,
+        service: str,
+        keys: KeyRing,
+        members: MemberTable,
+        clock: Clock,
+        configuration: QuicConfiguration,
+        handler: Handler,
+    ) -> None:
+        self._node_id = node_id
+        self._service_name = service
+        self._members = members
+        self._handler = handler
+        self._paths = ReturnPaths(members, zone, clock, random.Random(node_id))
+        self._incoming = ForwardCodec(keys, Direction.TO_TARGET)
+        self._outgoing = ForwardCodec(keys, Direction.TO_CALLER)
+        self._service_addresses: frozenset[Address] = frozenset()
+        self._connection_limit = 0
+        self._draining = False
+        self._transport: asyncio.DatagramTransport | None = None
+        self._counts: Counter[str] = Counter()
+        self._server = SidecarQuicServer(
+            target=target,
+            codec=ConnectionIdCodec(keys),
+            configuration=configuration,
+            send=self._send,
+            create_protocol=self._create_gateway,
+        )
+
+    @property
+    def connections(self) -> int:
+        """Number of open connections."""
+        return len(self._server.connections)
+
+    @property
+    def running(self) -> int:
+        """Number of requests in progress."""
+        return sum(g.running for g in self._gateways)
+
+    @property
+    def counts(self) -> Counter[str]:
+        """Packets received, passed on and dropped, by reason."""
+        return self._counts
+
+    def apply_service(self, service: Service | None) -> None:
+        """Take over the declaration of the own service; None refuses all packets."""
+        self._service_addresses = frozenset(service.endpoints if service else ())
+        self._connection_limit = service.connections_per_target if service else 0
+
+    @asynccontextmanager
+    async def serving(self, address: Address) -> AsyncIterator["Sidecar"]:
+        """Receive forwarded packets on an address until the context ends."""
+        loop = asyncio.get_running_loop()
+        transport, _ = await loop.create_datagram_endpoint(
+            lambda: self, local_addr=(address.ip, address.port)
+        )
+        try:
+            yield self
+        finally:
+            self._server.close()
+            transport.close()
+
+    async def drain(self, grace_s: float, limit_s: float) -> int:
+        """Finish the requests in progress and close the connections.
+
+        New connections are passed to peers at once. New requests on open
+        connections are still taken for ``grace_s`` seconds, then refused as not run.
+
+        :return: the number of requests that were cut when ``limit_s`` was over.
+        """
+        deadline = asyncio.get_running_loop().time() + limit_s
+        self._draining = True
+        for gateway in self._gateways:
+            gateway.announce_shutdown()
+        await asyncio.sleep(min(grace_s, limit_s))
+        for gateway in self._gateways:
+            gateway.refuse_new_requests()
+        while asyncio.get_running_loop().time() < deadline:
+            if all(gateway.close_if_idle() for gateway in self._gateways):
+                return 0
+            await asyncio.sleep(DRAIN_POLL_S)
+        return self.running
+
+    def resume(self) -> None:
+        """Take new connections again after a drain that was called off."""
+        self._draining = False
+
+    def state(self) -> dict[str, object]:
+        """Return a summary for the state dump."""
+        return {
+            "service": self._service_name,
+            "connections": self.connections,
+            "running_requests": self.running,
+            "draining": self._draining,
+            "return_paths": len(self._paths),
+            "packets": dict(self._counts),
+        }
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the socket's transport."""
+        self._transport = transport  # type: ignore[assignment]
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        """Take a datagram from an entry instance or from a peer."""
+        forwarded = self._incoming.decode(data)
+        if forwarded is None:
+            self._counts["dropped_forged"] += 1
+            return
+        if forwarded.service_address not in self._service_addresses:
+            self._counts["dropped_other_service"] += 1
+            return
+        source = Address(addr[0], addr[1])
+        caller = (forwarded.caller.ip, forwarded.caller.port)
+        if self._pass_on(data, forwarded.packet, source):
+            return
+        new = self._paths.saw(caller, source, forwarded.service_address.pack())
+        if self._server.receive(forwarded.packet, caller):
+            self._counts["received"] += 1
+        else:
+            self._counts["dropped_unknown"] += 1
+            if new:
+                self._paths.forget(caller)
+
+    @property
+    def _gateways(self) -> list[Gateway]:
+        return list(self._server.connections)  # type: ignore[arg-type]
+
+    def _create_gateway(self, connection: QuicConnection) -> Gateway:
+        return Gateway(connection, self._handler)
+
+    def _send(self, packet: bytes, caller: tuple[str, int]) -> None:
+        entry = self._paths.choose(caller)
+        service_address = self._paths.service_address(caller)
+        if entry is None or service_address is None or self._transport is None:
+            self._counts["unsent_no_entry"] += 1
+            return
+        header = self._outgoing.header_for(Address(*caller).pack(), service_address)
+        self._transport.sendto(header + packet, (entry.ip, entry.port))
+
+    def _pass_on(self, datagram: bytes, packet: bytes, source: Address) -> bool:
+        """Pass a first packet to a peer if this target takes no new connections."""
+        connection_id = read_connection_id(packet)
+        if not is_first_packet(packet) or self._server.knows(connection_id):
+            return False
+        if not self._draining and self.connections < self._connection_limit:
+            return False
+        peer = self._peer_for(connection_id or b"")
+        # One that was passed on before came from a sidecar; it goes no further.
+        if peer is None or self._is_peer(source):
+            self._counts["refused_connections"] += 1
+            return True
+        self._counts["passed_on_connections"] += 1
+        self._transport.sendto(
+            datagram, (peer.forward_address.ip, peer.forward_address.port)
+        )
+        return True
+
+    def _peers(self) -> list[Member]:
+        return [
+            m
+            for m in self._members.of_service(self._service_name)
+            if m.node_id != self._node_id
+        ]
+
+    def _is_peer(self, source: Address) -> bool:
+        return any(m.forward_address == source for m in self._peers())
+
+    def _peer_for(self, connection_id: bytes) -> Member | None:
+        """Choose by rendezvous hash, so that a repeated first packet goes alike."""
+        return max(
+            (m for m in self._peers() if m.accepts_new_flows),
+            key=lambda m: hashlib.sha256(connection_id + m.node_id.encode()).digest(),
+            default=None,
+        )
+
+
+def quic_configuration(certificate_path: str, key_path: str) -> QuicConfiguration:
+    """Return the transport settings of a sidecar.
+
+    0-RTT stays off, because a replayed first flight could run a request twice.
+
+    :param certificate_path: PEM file with the certificate chain.
+    :param key_path: PEM file with the private key.
+    """
+    configuration = QuicConfiguration(
+        is_client=False, alpn_protocols=H3_ALPN, idle_timeout=IDLE_TIMEOUT_S
+    )
+    configuration.load_cert_chain(certificate_path, key_path)
+    return configuration
--- /dev/null
+++ b/tests/test_quic.py
@@ -0,0 +1,230 @@
+"""The aioquic adapter and the gateway, with the library's own stock client."""
+
+import asyncio
+import datetime
+import random
+import ssl
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from pathlib import Path
+
+import pytest
+from aioquic.asyncio.client import connect
+from aioquic.asyncio.protocol import QuicConnectionProtocol
+from aioquic.h3.connection import H3_ALPN, H3Connection
+from aioquic.h3.events import DataReceived, HeadersReceived
+from aioquic.quic.configuration import QuicConfiguration
+from aioquic.quic.events import QuicEvent, StreamReset
+from cryptography import x509
+from cryptography.hazmat.primitives import hashes, serialization
+from cryptography.hazmat.primitives.asymmetric import ec
+from cryptography.x509.oid import NameOID
+
+from cranberryhold.addresses import Address
+from cranberryhold.clock import SystemClock
+from cranberryhold.connection_ids import ConnectionIdCodec, TargetRef
+from cranberryhold.exchange import Request, Response, bytes_body
+from cranberryhold.keys import KeyRing
+from cranberryhold.manifest import Service
+from cranberryhold.members import MemberTable
+from cranberryhold.packets import Direction, ForwardCodec, read_connection_id
+from cranberryhold.sidecar import Sidecar, quic_configuration
+
+KEYS = KeyRing({1: bytes(32)})
+SERVICE = Service(name="khata-core", addresses=("127.0.0.1:4433",))
+LIMIT_S = 10
+
+
+class StockClient(QuicConnectionProtocol):
+    """A minimal HTTP/3 client over the library's own classes."""
+
+    def __init__(self, *args: object, **kwargs: object) -> None:
+        super().__init__(*args, **kwargs)
+        self.h3 = H3Connection(self._quic)
+        self.answers: dict[int, asyncio.Future[tuple[int, bytes]]] = {}
+        self.parts: dict[int, tuple[int, bytes]] = {}
+
+    def quic_event_received(self, event: QuicEvent) -> None:
+        if isinstance(event, StreamReset):
+            self.answers[event.stream_id].set_result((-event.error_code, b""))
+        for h3_event in self.h3.handle_event(event):
+            self.take(h3_event)
+
+    def take(self, event: object) -> None:
+        if not isinstance(event, HeadersReceived | DataReceived):
+            return
+        status, data = self.parts.get(event.stream_id, (0, b""))
+        if isinstance(event, HeadersReceived):
+            status = int(dict(event.headers)[b":status"])
+        else:
+            data += event.data
+        self.parts[event.stream_id] = (status, data)
+        if event.stream_ended:
+            self.answers[event.stream_id].set_result((status, data))
+
+    async def get(self, path: str, body: bytes = b"") -> tuple[int, bytes]:
+        stream_id = self._quic.get_next_available_stream_id()
+        self.answers[stream_id] = asyncio.get_running_loop().create_future()
+        headers = [
+            (b":method", b"POST" if body else b"GET"),
+            (b":scheme", b"https"),
+            (b":authority", b"localhost"),
+            (b":path", path.encode()),
+        ]
+        self.h3.send_headers(stream_id, headers, end_stream=not body)
+        if body:
+            self.h3.send_data(stream_id, body, end_stream=True)
+        self.transmit()
+        return await asyncio.wait_for(self.answers[stream_id], LIMIT_S)
+
+
+class Forwarder(asyncio.DatagramProtocol):
+    """An entry instance reduced to its headers; keeps the packets it forwarded."""
+
+    def __init__(self, target: Address) -> None:
+        self.target = target
+        self.packets: list[bytes] = []
+        self.incoming = ForwardCodec(KEYS, Direction.TO_TARGET)
+        self.outgoing = ForwardCodec(KEYS, Direction.TO_CALLER)
+
+    def connection_made(self, transport: asyncio.DatagramTransport) -> None:
+        self.transport = transport
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        if addr == (self.target.ip, self.target.port):
+            back = self.outgoing.decode(data)
+            assert back is not None
+            self.transport.sendto(back.packet, (back.caller.ip, back.caller.port))
+            return
+        self.packets.append(data)
+        header = self.incoming.header(Address(*addr), SERVICE.endpoints[0])
+        self.transport.sendto(header + data, (self.target.ip, self.target.port))
+
+
+@pytest.fixture(scope="module")
+def certificate(tmp_path_factory: pytest.TempPathFactory) -> tuple[str, str]:
+    folder: Path = tmp_path_factory.mktemp("certificate")
+    key = ec.generate_private_key(ec.SECP256R1())
+    name = x509.Name([x509.NameAttribute(NameOID.COMMON_NAME, "localhost")])
+    start = datetime.datetime(2026, 1, 1, tzinfo=datetime.UTC)
+    cert = (
+        x509.CertificateBuilder(name, name, key.public_key(), 1)
+        .not_valid_before(start)
+        .not_valid_after(start + datetime.timedelta(days=3650))
+        .sign(key, hashes.SHA256())
+    )
+    pem = serialization.Encoding.PEM
+    (folder / "cert.pem").write_bytes(cert.public_bytes(pem))
+    private = serialization.PrivateFormat.PKCS8
+    (folder / "key.pem").write_bytes(
+        key.private_bytes(pem, private, serialization.NoEncryption())
+    )
+    return str(folder / "cert.pem"), str(folder / "key.pem")
+
+
+@asynccontextmanager
+async def echo(request: Request) -> AsyncIterator[Response]:
+    body = b"".join([chunk async for chunk in request.body])
+    yield Response(200, (), bytes_body(request.path.encode() + b" " + body))
+
+
+@pytest.fixture
+async def path_to_sidecar(certificate: tuple[str, str]) -> AsyncIterator[Callable]:
+    """Yield a function that opens a stock client through a forwarder."""
+    loop = asyncio.get_running_loop()
+    target = TargetRef(Address("127.0.0.1", 0), SERVICE.service_id, 7)
+    sidecar = Sidecar(
+        target=target,
+        zone="baneshwor",
+        node_id="t1",
+        service=SERVICE.name,
+        keys=KEYS,
+        members=MemberTable(),
+        clock=SystemClock(),
+        configuration=quic_configuration(*certificate),
+        handler=echo,
+    )
+    sidecar.apply_service(SERVICE)
+    async with sidecar.serving(Address("127.0.0.1", 0)):
+        address = Address(*sidecar._transport.get_extra_info("sockname"))
+        transport, forwarder = await loop.create_datagram_endpoint(
+            lambda: Forwarder(address), local_addr=("127.0.0.1", 0)
+        )
+        port = transport.get_extra_info("sockname")[1]
+
+        def open_client():
+            configuration = QuicConfiguration(
+                is_client=True, alpn_protocols=H3_ALPN, verify_mode=ssl.CERT_NONE
+            )
+            return connect(
+                "127.0.0.1",
+                port,
+                configuration=configuration,
+                create_protocol=StockClient,
+            )
+
+        yield open_client, forwarder, sidecar, target
+        transport.close()
+
+
+async def test_stock_client_gets_its_answer_and_uses_only_issued_ids(
+    path_to_sidecar: tuple,
+) -> None:
+    """Fails when a version of aioquic chooses connection ids elsewhere."""
+    open_client, forwarder, _, target = path_to_sidecar
+    async with open_client() as client:
+        assert await client.get("/a") == (200, b"/a ")
+        assert await client.get("/b", b"x" * 100_000) == (200, b"/b " + b"x" * 100_000)
+        client.change_connection_id()
+        assert await client.get("/c") == (200, b"/c ")
+    codec = ConnectionIdCodec(KEYS)
+    short = [p for p in forwarder.packets if not p[0] & 0x80]
+    assert short
+    assert {codec.decode(read_connection_id(p)) for p in short} == {target}
+    assert len({read_connection_id(p) for p in short}) > 1
+
+
+async def test_many_requests_at_once_get_their_own_answers(
+    path_to_sidecar: tuple,
+) -> None:
+    open_client, *_ = path_to_sidecar
+    async with open_client() as client:
+        paths = [f"/{n}" for n in range(50)]
+        answers = await asyncio.gather(*(client.get(path) for path in paths))
+    assert answers == [(200, f"{path} ".encode()) for path in paths]
+
+
+async def test_requests_after_a_goaway_are_rejected_as_not_run(
+    path_to_sidecar: tuple,
+) -> None:
+    open_client, _, sidecar, _ = path_to_sidecar
+    async with open_client() as client:
+        assert (await client.get("/a"))[0] == 200
+        (gateway,) = sidecar._gateways
+        gateway.refuse_new_requests()
+        assert await client.get("/late") == (-0x10B, b"")
+
+
+async def test_bad_packets_are_counted_and_leave_no_state(
+    path_to_sidecar: tuple,
+) -> None:
+    _, _, sidecar, _ = path_to_sidecar
+    rng = random.Random(1)
+    header = ForwardCodec(KEYS, Direction.TO_TARGET).header(
+        Address("127.0.0.1", 9), SERVICE.endpoints[0]
+    )
+    other = ForwardCodec(KEYS, Direction.TO_TARGET).header(
+        Address("127.0.0.1", 9), Address("127.0.0.1", 1)
+    )
+    entry = ("127.0.0.1", 1)
+    sidecar.datagram_received(rng.randbytes(300), entry)
+    sidecar.datagram_received(other + b"\x40" * 300, entry)
+    for size in (1, 20, 300, 1300):
+        sidecar.datagram_received(header + b"\x40" + rng.randbytes(size), entry)
+        sidecar.datagram_received(header + b"\xc0" + rng.randbytes(size), entry)
+    counts = sidecar.counts
+    assert counts["dropped_forged"] == 1
+    assert counts["dropped_other_service"] == 1
+    assert counts["dropped_unknown"] == 8
+    assert sidecar.state()["return_paths"] == 0
+    assert sidecar.connections == 0
