Keep the HTTP client from repeating requests by itself

Cause: aiohttp repeats GET after a lost connection, even on a fresh connection; the new test saw two executions for one request. Change: the session's repeat is turned off. Before: 2 executions, after: 1. Conclusion: repeats are decided by the caller's policy alone.

--- a/src/cranberryhold/upstream.py
+++ b/src/cranberryhold/upstream.py
@@ -170,6 +170,9 @@
         auto_decompress=False,
         skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding", "Content-Type"),
     ) as session:
+        # aiohttp repeats idempotent methods after a lost connection, even on a
+        # new one, and has no public switch; repeats are the caller's decision.
+        session._retry_connection = False
         yield UpstreamClient(address, session)
 
 
