Test the choice of return paths

Guards against flows that fall silent with their entry instance: stale paths, suspected, leaving and dead entry instances, datagrams passed on by a peer, and the bound on memory.

--- /dev/null
+++ b/tests/test_return_paths.py
@@ -0,0 +1,101 @@
+"""Return paths: the loss of an entry instance must not silence a flow."""
+
+import random
+
+import pytest
+
+from cranberryhold.addresses import Address
+from cranberryhold.members import Member, MemberState, MemberTable, Role
+from cranberryhold.return_paths import PATH_LIFETIME_S, PATH_LIMIT, ReturnPaths
+
+CALLER = ("10.9.0.1", 5000)
+SERVICE = bytes(6)
+
+
+class ManualClock:
+    def __init__(self) -> None:
+        self.now = 100.0
+
+    def monotonic(self) -> float:
+        return self.now
+
+    def wall(self) -> float:
+        return self.now
+
+    async def sleep(self, seconds: float) -> None:
+        self.now += seconds
+
+
+def entry(number: int, zone: str = "baneshwor", **more: object) -> Member:
+    address = Address(f"10.0.0.{number}", 7000)
+    return Member(f"e{number}", Role.ENTRY, zone, "np", address, address, **more)
+
+
+@pytest.fixture
+def clock() -> ManualClock:
+    return ManualClock()
+
+
+@pytest.fixture
+def members() -> MemberTable:
+    table = MemberTable()
+    for member in (entry(1), entry(2), entry(3, "lalitpur")):
+        table.merge(member)
+    return table
+
+
+@pytest.fixture
+def paths(members: MemberTable, clock: ManualClock) -> ReturnPaths:
+    paths = ReturnPaths(members, "baneshwor", clock, random.Random(1))
+    paths.saw(CALLER, entry(1).forward_address, SERVICE)
+    return paths
+
+
+def test_fresh_path_is_kept(paths: ReturnPaths, clock: ManualClock) -> None:
+    clock.now += PATH_LIFETIME_S / 2
+    assert paths.choose(CALLER) == entry(1).forward_address
+
+
+def test_stale_path_is_left_for_another_entry_of_the_zone(
+    paths: ReturnPaths, clock: ManualClock
+) -> None:
+    """Guards against an idle feed whose entry instance died unnoticed."""
+    clock.now += PATH_LIFETIME_S
+    assert paths.choose(CALLER) == entry(2).forward_address
+
+
+@pytest.mark.parametrize(
+    "state", [MemberState.SUSPECT, MemberState.LEAVING, MemberState.DOWN]
+)
+def test_path_through_an_ill_entry_is_left_at_once(
+    paths: ReturnPaths, members: MemberTable, state: MemberState
+) -> None:
+    members.merge(entry(1, state=state, version=1))
+    assert paths.choose(CALLER) == entry(2).forward_address
+
+
+def test_other_zones_serve_when_the_own_zone_is_gone(
+    paths: ReturnPaths, members: MemberTable
+) -> None:
+    for number in (1, 2):
+        members.merge(entry(number, state=MemberState.DOWN, version=1))
+    assert paths.choose(CALLER) == entry(3, "lalitpur").forward_address
+
+
+def test_last_path_is_used_when_nobody_else_is_known(clock: ManualClock) -> None:
+    paths = ReturnPaths(MemberTable(), "baneshwor", clock, random.Random(1))
+    paths.saw(CALLER, entry(1).forward_address, SERVICE)
+    clock.now += 10 * PATH_LIFETIME_S
+    assert paths.choose(CALLER) == entry(1).forward_address
+
+
+def test_datagram_of_a_peer_does_not_move_the_path(paths: ReturnPaths) -> None:
+    """A first packet that a sidecar passed on does not come from an entry."""
+    paths.saw(CALLER, Address("10.0.1.1", 9000), SERVICE)
+    assert paths.choose(CALLER) == entry(1).forward_address
+
+
+def test_memory_is_bounded(paths: ReturnPaths) -> None:
+    for port in range(PATH_LIMIT + 100):
+        paths.saw(("10.9.0.2", port), entry(1).forward_address, SERVICE)
+    assert len(paths) == PATH_LIMIT
