--- /dev/null
+++ b/emulator/key_values.py
@@ -0,0 +1,341 @@
+"""State of the stand-in of the platform's key-value service, and its faults."""
+
+import asyncio
+import itertools
+from contextlib import suppress
+from dataclasses import dataclass, field, replace
+
+from cranberryhold.clock import Clock, SystemClock
+from cranberryhold.exceptions import StoreError, StoreOutcomeUnknownError
+from cranberryhold.store import Lease, Versioned
+
+MAX_VALUE_BYTES = 1_000_000
+LEASE_PREFIX = "cranberryhold/leases/"
+
+
+@dataclass(frozen=True, slots=True)
+class Entry:
+    """A key's value and indexes, as Consul names them."""
+
+    value: bytes
+    create_index: int
+    modify_index: int
+    lock_index: int = 0
+    session: str = ""
+
+
+@dataclass(slots=True)
+class Session:
+    """A session with a time to live; its locks go when it lapses."""
+
+    session_id: str
+    ttl_s: float
+    expires_at: float
+    behavior: str = "release"
+
+
+@dataclass(slots=True)
+class Faults:
+    """Faults that are in effect now.
+
+    :param down: no call is answered or takes effect.
+    :param lose_answers: how many of the next writes take effect without an answer.
+    :param lose_requests: how many of the next writes are lost before they take effect.
+    :param delay_s: seconds that pass before a call takes effect.
+    :param answer_delay_s: seconds that pass before a call is answered.
+    """
+
+    down: bool = False
+    lose_answers: int = 0
+    lose_requests: int = 0
+    delay_s: float = 0.0
+    answer_delay_s: float = 0.0
+
+    def cut_before(self, is_write: bool) -> bool:
+        """Whether the next call is lost before it takes effect."""
+        if is_write and self.lose_requests > 0:
+            self.lose_requests -= 1
+            return True
+        return self.down
+
+    def cut_after(self, is_write: bool) -> bool:
+        """Whether the next answer is lost."""
+        if is_write and self.lose_answers > 0:
+            self.lose_answers -= 1
+            return True
+        return self.down
+
+
+@dataclass(slots=True)
+class Calls:
+    """Calls since the start; a waiting watch counts once."""
+
+    reads: int = 0
+    watches: int = 0
+    writes: int = 0
+
+    @property
+    def total(self) -> int:
+        """All calls."""
+        return self.reads + self.watches + self.writes
+
+
+@dataclass(slots=True)
+class KeyValues:
+    """Keys, sessions, faults and the count of calls."""
+
+    clock: Clock = field(default_factory=SystemClock)
+    faults: Faults = field(default_factory=Faults)
+    calls: Calls = field(default_factory=Calls)
+    index: int = 1
+    _entries: dict[str, Entry] = field(default_factory=dict)
+    _sessions: dict[str, Session] = field(default_factory=dict)
+    _snapshots: dict[str, tuple[int, dict[str, Entry]]] = field(default_factory=dict)
+    _waiters: set[asyncio.Future[bool]] = field(default_factory=set)
+    _session_numbers: "itertools.count[int]" = field(default_factory=itertools.count)
+    watching: asyncio.Event = field(default_factory=asyncio.Event)
+    """Set once a watch has started to wait."""
+
+    def get(self, key: str) -> Entry | None:
+        """Return a key's entry."""
+        self._expire_sessions()
+        return self._entries.get(key)
+
+    def put(self, key: str, value: bytes, cas: int | None = None) -> bool:
+        """Write a key, if ``cas`` (when given) is still its modify index."""
+        self._expire_sessions()
+        old = self._entries.get(key)
+        if cas is not None and cas != (old.modify_index if old else 0):
+            return False
+        self._write(key, value, old.session if old else "")
+        return True
+
+    def acquire(self, key: str, value: bytes, session_id: str) -> bool | None:
+        """Lock a key for a session; None if the session has lapsed."""
+        self._expire_sessions()
+        if session_id not in self._sessions:
+            return None
+        old = self._entries.get(key)
+        if old and old.session not in ("", session_id):
+            return False
+        self._write(key, value, session_id)
+        return True
+
+    def release(self, key: str, value: bytes, session_id: str) -> bool:
+        """Unlock a key that this session holds."""
+        self._expire_sessions()
+        old = self._entries.get(key)
+        if not old or old.session != session_id:
+            return False
+        self._write(key, value, "")
+        return True
+
+    def delete(self, key: str) -> None:
+        """Remove a key."""
+        if self._entries.pop(key, None):
+            self.index += 1
+            self._wake()
+
+    def create_session(self, ttl_s: float, behavior: str) -> Session:
+        """Open a session."""
+        session_id = f"00000000-0000-4000-8000-{next(self._session_numbers):012x}"
+        expires_at = self.clock.monotonic() + ttl_s
+        session = Session(session_id, ttl_s, expires_at, behavior)
+        self._sessions[session_id] = session
+        return session
+
+    def renew_session(self, session_id: str) -> Session | None:
+        """Extend a session by its time to live; None if it has lapsed."""
+        self._expire_sessions()
+        session = self._sessions.get(session_id)
+        if session:
+            session.expires_at = self.clock.monotonic() + session.ttl_s
+        return session
+
+    def destroy_session(self, session_id: str) -> None:
+        """End a session and what it holds."""
+        session = self._sessions.pop(session_id, None)
+        if session is None:
+            return
+        for key, entry in list(self._entries.items()):
+            if entry.session != session_id:
+                continue
+            if session.behavior == "delete":
+                self.delete(key)
+            else:
+                self._write(key, entry.value, "")
+
+    def expire_holder(self, key: str) -> bool:
+        """End the session that holds a key, as when its holder is paused."""
+        entry = self._entries.get(key)
+        if not entry or not entry.session:
+            return False
+        self.destroy_session(entry.session)
+        return True
+
+    def snapshot(self, name: str) -> None:
+        """Remember all keys under a name."""
+        self._snapshots[name] = (self.index, dict(self._entries))
+
+    def restore(self, name: str) -> None:
+        """Go back to a snapshot, indexes too, and wake all waiting watches."""
+        self.index, entries = self._snapshots[name]
+        self._entries = {
+            key: replace(entry, session="") for key, entry in entries.items()
+        }
+        self._sessions.clear()
+        self._wake(abandoned=True)
+
+    def set_down(self, down: bool) -> None:
+        """Stop or resume answering; waiting watches are cut."""
+        self.faults.down = down
+        self._wake()
+
+    async def watch(self, key: str, index: int, wait_s: float) -> Entry | None:
+        """Wait until a key's index exceeds ``index``, then return its entry."""
+        deadline = self.clock.monotonic() + wait_s
+        while True:
+            entry = self.get(key)
+            current = entry.modify_index if entry else self.index
+            remaining = deadline - self.clock.monotonic()
+            if current > index or remaining <= 0 or self.faults.down:
+                return entry
+            if await self._woken(min(remaining, self._next_expiry())):
+                return self.get(key)
+
+    async def _woken(self, timeout_s: float) -> bool:
+        waiter: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
+        self._waiters.add(waiter)
+        self.watching.set()
+        try:
+            with suppress(TimeoutError):
+                return await asyncio.wait_for(waiter, timeout_s)
+        finally:
+            self._waiters.discard(waiter)
+        return False
+
+    def _write(self, key: str, value: bytes, session: str) -> None:
+        old = self._entries.get(key)
+        self.index += 1
+        newly_locked = bool(session) and (not old or old.session != session)
+        self._entries[key] = Entry(
+            value=value,
+            create_index=old.create_index if old else self.index,
+            modify_index=self.index,
+            lock_index=(old.lock_index if old else 0) + newly_locked,
+            session=session,
+        )
+        self._wake()
+
+    def _wake(self, abandoned: bool = False) -> None:
+        for waiter in self._waiters:
+            if not waiter.done():
+                waiter.set_result(abandoned)
+
+    def _next_expiry(self) -> float:
+        now = self.clock.monotonic()
+        times = [s.expires_at - now for s in self._sessions.values()]
+        return max(0.0, min(times, default=float("inf")))
+
+    def _expire_sessions(self) -> None:
+        if not self._sessions:
+            return
+        now = self.clock.monotonic()
+        for session in list(self._sessions.values()):
+            if session.expires_at <= now:
+                self.destroy_session(session.session_id)
+
+
+class MemoryStore:
+    """A :class:`~cranberryhold.store.Store` in this process, for tests.
+
+    Several stores may share one :class:`KeyValues`, as several clients do.
+    """
+
+    def __init__(self, key_values: KeyValues | None = None) -> None:
+        self.key_values = key_values or KeyValues()
+
+    async def get(self, key: str) -> Versioned | None:
+        """Return the value of a key, or None."""
+        self.key_values.calls.reads += 1
+        await self._before("read")
+        entry = self.key_values.get(key)
+        await self._after("read")
+        return _versioned(entry)
+
+    async def compare_and_swap(
+        self, key: str, value: bytes, expected_revision: int
+    ) -> bool:
+        """Write a key if it still has this revision."""
+        await self._before_write("compare and swap")
+        if len(value) > MAX_VALUE_BYTES:
+            raise StoreError("value above 1 MB", step="compare and swap")
+        done = self.key_values.put(key, value, expected_revision)
+        await self._after_write("compare and swap")
+        return done
+
+    async def watch(
+        self, key: str, after_revision: int, timeout_s: float
+    ) -> Versioned | None:
+        """Wait for a change of a key."""
+        self.key_values.calls.watches += 1
+        await self._before("watch")
+        entry = await self.key_values.watch(key, after_revision, timeout_s)
+        await self._after("watch")
+        changed = entry and entry.modify_index != after_revision
+        return _versioned(entry) if changed else None
+
+    async def acquire_lease(self, name: str, ttl_s: float) -> Lease | None:
+        """Take a lease, or return None if another holds it."""
+        await self._before_write("acquire lease")
+        session = self.key_values.create_session(ttl_s, "delete")
+        key = LEASE_PREFIX + name
+        taken = self.key_values.acquire(key, b"", session.session_id)
+        if not taken:
+            self.key_values.destroy_session(session.session_id)
+        await self._after_write("acquire lease")
+        return Lease(name, session.session_id, ttl_s) if taken else None
+
+    async def renew_lease(self, lease: Lease) -> bool:
+        """Renew a lease; False if it has lapsed."""
+        await self._before_write("renew lease")
+        alive = self.key_values.renew_session(lease.lease_id) is not None
+        await self._after_write("renew lease")
+        return alive
+
+    async def release_lease(self, lease: Lease) -> None:
+        """Give a lease back."""
+        await self._before_write("release lease")
+        self.key_values.destroy_session(lease.lease_id)
+        await self._after_write("release lease")
+
+    async def _before(self, step: str) -> None:
+        await pause(self.key_values.clock, self.key_values.faults.delay_s)
+        if self.key_values.faults.cut_before(is_write=False):
+            raise StoreError("the store is down", step=step, peer="memory")
+
+    async def _after(self, step: str) -> None:
+        await pause(self.key_values.clock, self.key_values.faults.answer_delay_s)
+        if self.key_values.faults.cut_after(is_write=False):
+            raise StoreError("the store went down", step=step, peer="memory")
+
+    async def _before_write(self, step: str) -> None:
+        self.key_values.calls.writes += 1
+        await self._before(step)
+        if self.key_values.faults.cut_before(is_write=True):
+            raise StoreOutcomeUnknownError("lost", step=step, peer="memory")
+
+    async def _after_write(self, step: str) -> None:
+        await pause(self.key_values.clock, self.key_values.faults.answer_delay_s)
+        if self.key_values.faults.cut_after(is_write=True):
+            raise StoreOutcomeUnknownError("answer lost", step=step, peer="memory")
+
+
+def _versioned(entry: Entry | None) -> Versioned | None:
+    return Versioned(entry.value, entry.modify_index) if entry else None
+
+
+async def pause(clock: Clock, seconds: float) -> None:
+    """Wait for a fault's delay."""
+    if seconds > 0:
+        await clock.sleep(seconds)
--- /dev/null
+++ b/emulator/platform.py
@@ -0,0 +1,219 @@
+"""Stand-in of the platform's key-value service, over the Consul KV HTTP interface.
+
+Speaks the published interface as far as the system uses it: ``/v1/kv`` with
+blocking queries, ``cas``, ``acquire`` and ``release``, and ``/v1/session`` with a
+time to live. Faults are set at ``/control``.
+
+>>> # python -m emulator.platform --listen 127.0.0.1:8500
+"""
+
+import argparse
+import asyncio
+import base64
+import json
+import re
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from dataclasses import asdict, fields
+
+from aiohttp import web
+
+from cranberryhold.addresses import Address
+from emulator.key_values import MAX_VALUE_BYTES, Entry, Faults, KeyValues, pause
+
+# Limits of the published interface.
+MIN_TTL_S = 10.0
+MAX_TTL_S = 86400.0
+DEFAULT_WAIT_S = 300.0
+MAX_WAIT_S = 600.0
+_DURATION = re.compile(r"^([0-9.]+)(ms|s|m)$")
+_UNIT_S = {"ms": 0.001, "s": 1.0, "m": 60.0}
+
+_Answer = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+
+class Platform:
+    """The HTTP face of a :class:`KeyValues`."""
+
+    def __init__(self, key_values: KeyValues | None = None) -> None:
+        self.key_values = key_values or KeyValues()
+
+    def application(self) -> web.Application:
+        """Return the aiohttp application."""
+        app = web.Application(
+            middlewares=[self._with_faults], client_max_size=2 * MAX_VALUE_BYTES
+        )
+        app.router.add_get("/v1/kv/{key:.+}", self._read)
+        app.router.add_put("/v1/kv/{key:.+}", self._write)
+        app.router.add_delete("/v1/kv/{key:.+}", self._delete)
+        app.router.add_put("/v1/session/create", self._create_session)
+        app.router.add_put("/v1/session/renew/{session}", self._renew_session)
+        app.router.add_put("/v1/session/destroy/{session}", self._destroy_session)
+        app.router.add_get("/control", self._show_control)
+        app.router.add_post("/control", self._control)
+        return app
+
+    @asynccontextmanager
+    async def serve(self, listen: Address) -> AsyncIterator[Address]:
+        """Listen until the context ends; yields the address (port 0: any)."""
+        runner = web.AppRunner(self.application(), shutdown_timeout=0.1)
+        await runner.setup()
+        try:
+            site = web.TCPSite(runner, listen.ip, listen.port)
+            await site.start()
+            ip, port = runner.addresses[0][:2]
+            yield Address(ip, port)
+        finally:
+            await runner.cleanup()
+
+    @web.middleware
+    async def _with_faults(
+        self, request: web.Request, handler: _Answer
+    ) -> web.StreamResponse:
+        if not request.path.startswith("/v1/"):
+            return await handler(request)
+        faults, clock = self.key_values.faults, self.key_values.clock
+        is_write = self._count(request)
+        await pause(clock, faults.delay_s)
+        if faults.cut_before(is_write):
+            return _cut(request)
+        response = await handler(request)
+        await pause(clock, faults.answer_delay_s)
+        return _cut(request) if faults.cut_after(is_write) else response
+
+    def _count(self, request: web.Request) -> bool:
+        calls = self.key_values.calls
+        if request.method != "GET":
+            calls.writes += 1
+            return True
+        if "index" in request.query:
+            calls.watches += 1
+        else:
+            calls.reads += 1
+        return False
+
+    async def _read(self, request: web.Request) -> web.Response:
+        key = request.match_info["key"]
+        if "index" in request.query:
+            wait_s = _seconds(request.query.get("wait", ""), DEFAULT_WAIT_S)
+            index = int(request.query["index"])
+            entry = await self.key_values.watch(key, index, min(wait_s, MAX_WAIT_S))
+        else:
+            entry = self.key_values.get(key)
+        index = entry.modify_index if entry else self.key_values.index
+        headers = {"X-Consul-Index": str(index)}
+        if entry is None:
+            return web.Response(status=404, headers=headers)
+        return web.json_response([_entry_json(key, entry)], headers=headers)
+
+    async def _write(self, request: web.Request) -> web.Response:
+        key, query = request.match_info["key"], request.query
+        value = await request.read()
+        if len(value) > MAX_VALUE_BYTES:
+            return web.Response(status=413, text="value is too large")
+        if "acquire" in query:
+            done = self.key_values.acquire(key, value, query["acquire"])
+            if done is None:
+                return web.Response(status=500, text="invalid session")
+        elif "release" in query:
+            done = self.key_values.release(key, value, query["release"])
+        else:
+            cas = int(query["cas"]) if "cas" in query else None
+            done = self.key_values.put(key, value, cas)
+        return web.json_response(done)
+
+    async def _delete(self, request: web.Request) -> web.Response:
+        self.key_values.delete(request.match_info["key"])
+        return web.json_response(True)
+
+    async def _create_session(self, request: web.Request) -> web.Response:
+        body = await request.json()
+        ttl_s = _seconds(body.get("TTL", ""), MAX_TTL_S)
+        if not MIN_TTL_S <= ttl_s <= MAX_TTL_S:
+            return web.Response(status=400, text="TTL must be 10s to 86400s")
+        behavior = body.get("Behavior", "release")
+        session = self.key_values.create_session(ttl_s, behavior)
+        return web.json_response({"ID": session.session_id})
+
+    async def _renew_session(self, request: web.Request) -> web.Response:
+        session = self.key_values.renew_session(request.match_info["session"])
+        if session is None:
+            return web.Response(status=404, text="session not found")
+        return web.json_response(
+            [{"ID": session.session_id, "TTL": f"{session.ttl_s}s"}]
+        )
+
+    async def _destroy_session(self, request: web.Request) -> web.Response:
+        self.key_values.destroy_session(request.match_info["session"])
+        return web.json_response(True)
+
+    async def _show_control(self, request: web.Request) -> web.Response:
+        calls = self.key_values.calls
+        return web.json_response(
+            {
+                "faults": asdict(self.key_values.faults),
+                "calls": asdict(calls) | {"total": calls.total},
+            }
+        )
+
+    async def _control(self, request: web.Request) -> web.Response:
+        """Set faults, expire a lease's holder, take or restore a snapshot."""
+        body = await request.json()
+        names = {f.name for f in fields(Faults)}
+        unknown = body.keys() - names - {"expire", "snapshot", "restore"}
+        if unknown:
+            return web.Response(status=400, text=f"unknown: {sorted(unknown)}")
+        for name in names & body.keys():
+            setattr(self.key_values.faults, name, body[name])
+        if "down" in body:
+            self.key_values.set_down(body["down"])
+        if "expire" in body:
+            self.key_values.expire_holder(body["expire"])
+        if "snapshot" in body:
+            self.key_values.snapshot(body["snapshot"])
+        if "restore" in body:
+            self.key_values.restore(body["restore"])
+        return await self._show_control(request)
+
+
+def _cut(request: web.Request) -> web.Response:
+    """Close the connection without an answer."""
+    if request.transport:
+        request.transport.abort()
+    return web.Response(status=500)
+
+
+def _seconds(text: str, default: float) -> float:
+    match = _DURATION.match(text)
+    return float(match[1]) * _UNIT_S[match[2]] if match else default
+
+
+def _entry_json(key: str, entry: Entry) -> dict[str, object]:
+    fields_of_entry: dict[str, object] = {
+        "Key": key,
+        "Value": base64.b64encode(entry.value).decode(),
+        "Flags": 0,
+        "LockIndex": entry.lock_index,
+        "CreateIndex": entry.create_index,
+        "ModifyIndex": entry.modify_index,
+    }
+    if entry.session:
+        fields_of_entry["Session"] = entry.session
+    return fields_of_entry
+
+
+async def _run(listen: Address) -> None:
+    async with Platform().serve(listen) as address:
+        print(json.dumps({"listening": str(address)}), flush=True)
+        await asyncio.Event().wait()
+
+
+def main() -> None:
+    """Run the stand-in until it is interrupted."""
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("--listen", default="127.0.0.1:8500", help="IPv4:port")
+    asyncio.run(_run(Address.parse(parser.parse_args().listen)))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/cranberryhold/apply.py
@@ -0,0 +1,284 @@
+"""Submitting a manifest: one compare-and-swap on the platform's store."""
+
+from dataclasses import dataclass
+
+from expression import Error, Ok, Result
+from pydantic import ValidationError
+
+from cranberryhold.clock import Clock, SystemClock
+from cranberryhold.exceptions import (
+    ConflictError,
+    CranberryholdError,
+    ManifestError,
+    StoreError,
+    StoreOutcomeUnknownError,
+)
+from cranberryhold.manifest import (
+    AcceptedManifest,
+    Manifest,
+    ReleasedAddress,
+    Submission,
+    manifest_digest,
+)
+from cranberryhold.store import Store
+
+MANIFEST_KEY = "cranberryhold/manifest"
+# The store refuses values above 1 MB.
+MAX_DOCUMENT_BYTES = 1_000_000
+# Twenty times the 3 s in which a manifest is in force everywhere, so that no entry
+# instance still sends the address's packets to the previous service.
+ADDRESS_QUARANTINE_S = 60.0
+# At 1,200 changes a day a submission is remembered for 10 hours, in about 50 KB.
+REMEMBERED_SUBMISSIONS = 512
+ATTEMPTS = 4
+RETRY_DELAY_S = 0.5
+
+
+@dataclass(frozen=True, slots=True)
+class _Stored:
+    document: AcceptedManifest | None
+    revision: int
+
+    @property
+    def generation(self) -> int:
+        return self.document.generation if self.document else 0
+
+
+async def read_accepted(store: Store) -> AcceptedManifest | None:
+    """Return what the store holds, or None if nothing was accepted yet.
+
+    :raises StoreError: if the store can't be reached.
+    :raises ManifestError: if what it holds can't be read.
+    """
+    return (await _read(store)).document
+
+
+async def apply_manifest(
+    store: Store,
+    manifest: Manifest,
+    submission_id: str,
+    now: float,
+    *,
+    expected_generation: int | None = None,
+    above_generation: int = 0,
+    clock: Clock | None = None,
+) -> Result[AcceptedManifest, CranberryholdError]:
+    """Put a manifest into effect, or change nothing.
+
+    Of two racing runs exactly one succeeds; the other gets a
+    :class:`ConflictError` that names the generation it lost to. Repeating a
+    submission changes nothing and gives its first result. A lost answer is
+    resolved by reading the submission id back.
+
+    :param submission_id: unique name of this submission; a repeat uses the same.
+    :param now: seconds since the Unix epoch.
+    :param expected_generation: refuse unless this generation is in effect.
+    :param above_generation: give the manifest a higher generation than this one,
+        for a store that went back to an older snapshot than the fleet has.
+    """
+    submitter = _Submitter(store, manifest, submission_id, clock or SystemClock())
+    try:
+        return Ok(await submitter.submit(now, expected_generation, above_generation))
+    except CranberryholdError as error:
+        return Error(error)
+
+
+class _Submitter:
+    """One submission, with its attempts."""
+
+    def __init__(
+        self, store: Store, manifest: Manifest, submission_id: str, clock: Clock
+    ) -> None:
+        self._store = store
+        self._manifest = manifest
+        self._id = submission_id
+        self._clock = clock
+        self._digest = manifest_digest(manifest)
+
+    async def submit(
+        self, now: float, expected_generation: int | None, above_generation: int
+    ) -> AcceptedManifest:
+        """Read, check, swap."""
+        stored = await _read(self._store)
+        earlier = self._earlier_result(stored)
+        if earlier:
+            return earlier
+        if expected_generation not in (None, stored.generation):
+            raise _conflict(stored, f"expected generation {expected_generation}")
+        proposal = self._propose(stored, now, above_generation)
+        return await self._swap(stored, proposal)
+
+    def _earlier_result(self, stored: _Stored) -> AcceptedManifest | None:
+        """Return the result of an earlier run of this submission, if any."""
+        document = stored.document
+        record = document.submission(self._id) if document else None
+        if document is None or record is None:
+            return None
+        if record.digest != self._digest:
+            raise ConflictError(
+                f"submission id {self._id} was used for another manifest, accepted "
+                f"as generation {record.generation}: choose a new submission id",
+                step="check submission",
+            )
+        if record.generation == document.generation:
+            return document
+        return AcceptedManifest(
+            generation=record.generation,
+            submission_id=self._id,
+            manifest=self._manifest,
+        )
+
+    def _propose(
+        self, stored: _Stored, now: float, above_generation: int
+    ) -> AcceptedManifest:
+        generation = max(stored.generation, above_generation) + 1
+        record = Submission(
+            submission_id=self._id, generation=generation, digest=self._digest
+        )
+        earlier = stored.document.submissions if stored.document else ()
+        return AcceptedManifest(
+            generation=generation,
+            submission_id=self._id,
+            manifest=self._manifest,
+            released=released_addresses(stored.document, self._manifest, now),
+            submissions=(*earlier, record)[-REMEMBERED_SUBMISSIONS:],
+        )
+
+    async def _swap(
+        self, stored: _Stored, proposal: AcceptedManifest
+    ) -> AcceptedManifest:
+        """Swap until the outcome is known.
+
+        All attempts are conditional on the same revision and write the same
+        document, so that at most one of them takes effect.
+        """
+        value = _encode(proposal)
+        lost: StoreError | None = None
+        for attempt in range(ATTEMPTS):
+            if attempt:
+                await self._clock.sleep(RETRY_DELAY_S * attempt)
+            try:
+                if await self._store.compare_and_swap(
+                    MANIFEST_KEY, value, stored.revision
+                ):
+                    return proposal
+            except StoreOutcomeUnknownError as error:
+                lost = error
+            except StoreError:
+                # A swap whose answer was lost may still take effect.
+                if lost is None:
+                    raise
+            current = await self._read_back()
+            if current.revision != stored.revision:
+                earlier = self._earlier_result(current)
+                if earlier:
+                    return earlier
+                raise _conflict(current, f"read generation {stored.generation}")
+        raise self._unknown(lost)
+
+    async def _read_back(self) -> _Stored:
+        for attempt in range(ATTEMPTS):
+            if attempt:
+                await self._clock.sleep(RETRY_DELAY_S * attempt)
+            try:
+                return await _read(self._store)
+            except StoreError as error:
+                failure = error
+        raise self._unknown(failure)
+
+    def _unknown(self, cause: StoreError | None) -> StoreOutcomeUnknownError:
+        return StoreOutcomeUnknownError(
+            f"it is not known whether submission {self._id} was accepted: repeat it "
+            "with the same submission id once the store can be reached",
+            step="submit manifest",
+            peer=cause.peer if cause else "",
+        )
+
+
+def released_addresses(
+    before: AcceptedManifest | None, manifest: Manifest, now: float
+) -> tuple[ReleasedAddress, ...]:
+    """Return the addresses that are barred from other services after a change.
+
+    :param now: seconds since the Unix epoch.
+    :raises ManifestError: if the change gives an address to another service less
+        than 60 s after it was released.
+    """
+    if before is None:
+        return ()
+    owners = _owners(before.manifest)
+    barred = {
+        r.address: r
+        for r in before.released
+        if now - r.released_at < ADDRESS_QUARANTINE_S
+    }
+    for address, service in owners.items():
+        barred[address] = ReleasedAddress(
+            address=address, service=service, released_at=now
+        )
+    wanted = _owners(manifest)
+    for address, service in wanted.items():
+        record = barred.pop(address, None)
+        if record and record.service != service:
+            raise _moved(record, service, now, released=address not in owners)
+    return tuple(barred.values())
+
+
+def _moved(
+    record: ReleasedAddress, service: str, now: float, released: bool
+) -> ManifestError:
+    if released:
+        wait_s = ADDRESS_QUARANTINE_S - (now - record.released_at)
+        remedy = f"try again in {wait_s:.0f} s"
+    else:
+        remedy = (
+            f"apply a manifest without it first, wait {ADDRESS_QUARANTINE_S:.0f} s, "
+            f"then give it to {service}"
+        )
+    return ManifestError(
+        f"address {record.address} belongs to service {record.service} and can't move "
+        f"to {service} until {ADDRESS_QUARANTINE_S:.0f} s after its release: {remedy}",
+        key=record.address,
+        step="check addresses",
+    )
+
+
+def _owners(manifest: Manifest) -> dict[str, str]:
+    return {a: s.name for s in manifest.services for a in s.addresses}
+
+
+def _encode(document: AcceptedManifest) -> bytes:
+    # Without the defaults, processes of an earlier version can read the document as
+    # long as no key that is new to them is used.
+    value = document.model_dump_json(exclude_defaults=True).encode()
+    if len(value) > MAX_DOCUMENT_BYTES:
+        raise ManifestError(
+            f"the manifest takes {len(value)} bytes in the store, which holds at most "
+            f"{MAX_DOCUMENT_BYTES}: remove services or classes",
+            step="encode manifest",
+        )
+    return value
+
+
+async def _read(store: Store) -> _Stored:
+    versioned = await store.get(MANIFEST_KEY)
+    if versioned is None:
+        return _Stored(None, 0)
+    try:
+        document = AcceptedManifest.model_validate_json(versioned.value)
+    except ValidationError as error:
+        raise ManifestError(
+            f"the store's key {MANIFEST_KEY} holds no readable manifest, so nothing "
+            f"was changed: {error.errors()[0]['msg']}",
+            step="read store",
+        ) from error
+    return _Stored(document, versioned.revision)
+
+
+def _conflict(stored: _Stored, expectation: str) -> ConflictError:
+    by = stored.document.submission_id if stored.document else "nobody"
+    return ConflictError(
+        f"generation {stored.generation} (submission {by}) came first, this run "
+        f"{expectation}: look at it with 'manifest show', then submit again",
+        step="submit manifest",
+    )
--- a/src/cranberryhold/manifest.py
+++ b/src/cranberryhold/manifest.py
@@ -1,17 +1,33 @@
 """The manifest: which services exist and how their traffic is treated."""
 
 import hashlib
-from collections.abc import Iterator
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from enum import StrEnum
+from typing import Annotated
 
-from pydantic import BaseModel, ConfigDict, Field, field_validator, model_validator
+from pydantic import AfterValidator, BaseModel, ConfigDict, Field, model_validator
+from pydantic_core import PydanticCustomError
 
 from cranberryhold.addresses import Address
+from cranberryhold.exceptions import AddressError
 
 _NAME = r"^[a-z][a-z0-9-]{0,62}$"
 
 
+def _check_address(text: str) -> str:
+    try:
+        address = Address.parse(text)
+    except AddressError as error:
+        raise ValueError(error.message) from error
+    if address.port == 0:
+        raise ValueError(f"{text!r} has port 0: write a port from 1 to 65535")
+    return str(address)
+
+
+AddressText = Annotated[str, AfterValidator(_check_address)]
+
+
 class _Model(BaseModel):
     model_config = ConfigDict(extra="forbid", frozen=True)
 
@@ -79,7 +95,7 @@
     """One service: its addresses and the treatment of its traffic."""
 
     name: str = Field(pattern=_NAME)
-    addresses: tuple[str, ...] = Field(min_length=1, description="IPv4:port.")
+    addresses: tuple[AddressText, ...] = Field(min_length=1, description="IPv4:port.")
     slots_per_target: int = Field(default=4, ge=1)
     connections_per_target: int = Field(default=2000, ge=1)
     slow_start_s: float = Field(default=30.0, ge=0)
@@ -89,12 +105,12 @@
     retry: RetryPolicy = RetryPolicy()
     drain: DrainPolicy = DrainPolicy()
 
-    @field_validator("addresses")
-    @classmethod
-    def _check_addresses(cls, addresses: tuple[str, ...]) -> tuple[str, ...]:
-        for text in addresses:
-            Address.parse(text)
-        return addresses
+    @model_validator(mode="after")
+    def _check_unique(self) -> "Service":
+        _refuse_repeats(
+            "class name", ((c.name, f"classes.{i}") for i, c in enumerate(self.classes))
+        )
+        return self
 
     @property
     def service_id(self) -> int:
@@ -119,9 +135,21 @@
 
     @model_validator(mode="after")
     def _check_unique(self) -> "Manifest":
-        _refuse_repeats("service name", (s.name for s in self.services))
-        _refuse_repeats("service id", (s.service_id for s in self.services))
-        _refuse_repeats("address", (a for s in self.services for a in s.addresses))
+        services = list(enumerate(self.services))
+        _refuse_repeats(
+            "service name", ((s.name, f"services.{i}.name") for i, s in services)
+        )
+        _refuse_repeats(
+            "service id", ((s.service_id, f"services.{i}.name") for i, s in services)
+        )
+        _refuse_repeats(
+            "address",
+            (
+                (address, f"services.{i}.addresses.{j}")
+                for i, s in services
+                for j, address in enumerate(s.addresses)
+            ),
+        )
         return self
 
     def service(self, name: str) -> Service | None:
@@ -137,6 +165,14 @@
     released_at: float = Field(description="Seconds since the Unix epoch.")
 
 
+class Submission(_Model):
+    """A submission that was accepted, so that its repeat is recognised."""
+
+    submission_id: str
+    generation: int = Field(ge=1)
+    digest: str = Field(description="First 16 hex digits of the manifest's SHA-256.")
+
+
 class AcceptedManifest(_Model):
     """What the store holds: a manifest with its generation.
 
@@ -148,6 +184,15 @@
     submission_id: str
     manifest: Manifest
     released: tuple[ReleasedAddress, ...] = ()
+    submissions: tuple[Submission, ...] = Field(
+        default=(), description="Recent submissions, the latest last."
+    )
+
+    def submission(self, submission_id: str) -> Submission | None:
+        """Return the record of a recent submission, or None."""
+        return next(
+            (s for s in self.submissions if s.submission_id == submission_id), None
+        )
 
 
 @dataclass(frozen=True, slots=True)
@@ -169,9 +214,23 @@
     return ServiceDigest(service.name, hashlib.sha256(data).digest()[:8])
 
 
-def _refuse_repeats(what: str, values: Iterator[object]) -> None:
+def manifest_digest(manifest: Manifest) -> str:
+    """Return the first 16 hex digits of the SHA-256 of a manifest's content."""
+    data = manifest.model_dump_json(exclude_defaults=True).encode()
+    return hashlib.sha256(data).hexdigest()[:16]
+
+
+def _refuse_repeats(what: str, values: Iterable[tuple[object, str]]) -> None:
+    """Refuse a value that appears twice; the error carries the second one's key.
+
+    :param values: each value with the dotted path of its key.
+    """
     seen: set[object] = set()
-    for value in values:
+    for value, key in values:
         if value in seen:
-            raise ValueError(f"{what} {value} appears twice: each needs its own")
+            raise PydanticCustomError(
+                "repeated",
+                "{what} {value} appears twice: each needs its own",
+                {"what": what, "value": str(value), "key": key},
+            )
         seen.add(value)
