Add the daemons that join the parts

Cause: no process ran yet. Change: run_entry and run_sidecar join membership, manifest, packets and requests; the first stop signal starts a graceful shutdown, the second ends it, and the log says what was cut. The upstream's health drives weight, drain and slow start.

--- /dev/null
+++ b/src/cranberryhold/daemon.py
@@ -0,0 +1,290 @@
+"""The daemons: an entry instance, and the sidecar of one upstream instance."""
+
+import asyncio
+import signal
+from collections.abc import AsyncIterator, Iterator
+from contextlib import AsyncExitStack, asynccontextmanager, contextmanager
+from dataclasses import dataclass, field
+
+from loguru import logger
+
+from cranberryhold.connection_ids import TargetRef
+from cranberryhold.consul import ConsulStore
+from cranberryhold.entry import Entry
+from cranberryhold.exceptions import ManifestError
+from cranberryhold.manifest import AcceptedManifest, DrainPolicy, Service, service_id
+from cranberryhold.members import Role
+from cranberryhold.node import Node, running_node
+from cranberryhold.pipeline import RequestPipeline
+from cranberryhold.placement import slow_start_schedule, slow_start_weight
+from cranberryhold.settings import EntrySettings, NodeSettings, SidecarSettings
+from cranberryhold.sidecar import Sidecar, quic_configuration
+from cranberryhold.upstream import UpstreamMonitor, UpstreamState, open_upstream
+
+# Packets that the fabric still hands to a leaving entry instance are forwarded
+# for this long after it has announced that it leaves.
+ENTRY_LINGER_S = 5.0
+
+
+@dataclass(slots=True)
+class StopSignals:
+    """SIGTERM and SIGINT: the first asks for a graceful shutdown, the second ends it.
+
+    :param first: set by the first signal.
+    :param second: set by the second one.
+    """
+
+    first: asyncio.Event = field(default_factory=asyncio.Event)
+    second: asyncio.Event = field(default_factory=asyncio.Event)
+
+    def note(self) -> None:
+        """Take note of a signal."""
+        (self.second if self.first.is_set() else self.first).set()
+
+
+@contextmanager
+def stop_signals() -> Iterator[StopSignals]:
+    """Handle the stop signals inside the context."""
+    loop = asyncio.get_running_loop()
+    signals = StopSignals()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, signals.note)
+    try:
+        yield signals
+    finally:
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.remove_signal_handler(number)
+
+
+async def run_entry(settings: EntrySettings) -> int:
+    """Run an entry instance until it is told to stop; return the exit code."""
+    async with AsyncExitStack() as stack:
+        signals = stack.enter_context(stop_signals())
+        node = await _enter_node(
+            stack, settings.node, Role.ENTRY, forward_address=settings.forward_address
+        )
+        entry = Entry(keys=settings.node.keys, members=node.members, settings=settings)
+        await stack.enter_async_context(entry.serving())
+        node.manifests.accepted.subscribe(lambda a: _apply(entry, a))
+        await signals.first.wait()
+        logger.info("event=leaving node={}", settings.node.node_id)
+        node.membership.announce(leaving=True)
+        await _first_of(signals.second.wait(), asyncio.sleep(ENTRY_LINGER_S))
+    logger.info("event=stopped node={}", settings.node.node_id)
+    return 0
+
+
+async def run_sidecar(settings: SidecarSettings) -> int:
+    """Run the sidecar of one upstream until it is told to stop.
+
+    :return: the exit code: 0, or 1 if requests were cut.
+    """
+    async with AsyncExitStack() as stack:
+        signals = stack.enter_context(stop_signals())
+        daemon = await stack.enter_async_context(running_sidecar(settings))
+        await signals.first.wait()
+        cut = await daemon.leave(signals.second)
+    logger.info("event=stopped node={} cut_requests={}", settings.node.node_id, cut)
+    return 1 if cut else 0
+
+
+class SidecarDaemon:
+    """Joins the parts of a sidecar: its node, its packets, its upstream.
+
+    :param settings: settings of the sidecar.
+    :param node: the running member.
+    :param sidecar: receives the forwarded packets.
+    :param pipeline: runs the requests.
+    :param monitor: watches the upstream's health.
+    """
+
+    def __init__(
+        self,
+        settings: SidecarSettings,
+        node: Node,
+        sidecar: Sidecar,
+        pipeline: RequestPipeline,
+        monitor: UpstreamMonitor,
+    ) -> None:
+        self._settings = settings
+        self._node = node
+        self._sidecar = sidecar
+        self._pipeline = pipeline
+        self._monitor = monitor
+        self._slow_start: asyncio.Task[None] | None = None
+        self._draining: asyncio.Task[int] | None = None
+
+    @property
+    def service(self) -> Service | None:
+        """The own service in the manifest in force."""
+        accepted = self._node.manifests.current
+        if accepted is None:
+            return None
+        return accepted.manifest.service(self._settings.service)
+
+    def state(self) -> dict[str, object]:
+        """Return the state for a dump."""
+        return {
+            **self._node.state(),
+            "sidecar": self._sidecar.state(),
+            "requests": self._pipeline.state(),
+            "upstream": {
+                "address": str(self._settings.upstream),
+                "state": self._monitor.state.value,
+            },
+        }
+
+    def apply_manifest(self, accepted: AcceptedManifest) -> None:
+        """Put a manifest in force."""
+        self._sidecar.apply_service(accepted.manifest.service(self._settings.service))
+
+    def follow_upstream(self, state: UpstreamState) -> None:
+        """Drain with the upstream, and start slowly when it is back."""
+        logger.info(
+            "event=upstream_state upstream={} state={}",
+            self._settings.upstream,
+            state.value,
+        )
+        if self._slow_start is not None:
+            self._slow_start.cancel()
+        if state is UpstreamState.OK:
+            self._take_new_flows()
+            return
+        self._node.membership.announce(weight=0)
+        if state is UpstreamState.DRAINING:
+            self._start_drain()
+
+    async def leave(self, cut_short: asyncio.Event) -> int:
+        """Shut down gracefully; return the number of requests that were cut."""
+        if self._slow_start is not None:
+            self._slow_start.cancel()
+        self._node.membership.announce(weight=0, leaving=True)
+        drain = self._start_drain()
+        await _first_of(asyncio.shield(drain), cut_short.wait())
+        cut = drain.result() if drain.done() else self._sidecar.running
+        drain.cancel()
+        if cut:
+            logger.warning(
+                "event=requests_cut node={} count={} classes={}",
+                self._settings.node.node_id,
+                cut,
+                self._pipeline.running,
+            )
+        return cut
+
+    def _start_drain(self) -> asyncio.Task[int]:
+        if self._draining is None:
+            policy = self.service.drain if self.service else DrainPolicy()
+            limit_s = self._settings.node.drain_limit_s or policy.limit_s
+            logger.info(
+                "event=draining node={} limit_s={}",
+                self._settings.node.node_id,
+                limit_s,
+            )
+            self._pipeline.begin_drain(policy.grace_s)
+            self._draining = asyncio.create_task(
+                self._sidecar.drain(policy.grace_s, limit_s)
+            )
+        return self._draining
+
+    def _take_new_flows(self) -> None:
+        if self._draining is not None:
+            self._draining.cancel()
+            self._draining = None
+            self._pipeline.end_drain()
+            self._sidecar.resume()
+        self._slow_start = asyncio.create_task(self._raise_weight())
+
+    async def _raise_weight(self) -> None:
+        ramp_s = self.service.slow_start_s if self.service else 0.0
+        started = self._node.clock.monotonic()
+        for age_s, weight in slow_start_schedule(ramp_s):
+            left_s = started + age_s - self._node.clock.monotonic()
+            await self._node.clock.sleep(max(0.0, left_s))
+            self._node.membership.announce(weight=weight)
+
+
+@asynccontextmanager
+async def running_sidecar(settings: SidecarSettings) -> AsyncIterator[SidecarDaemon]:
+    """Run a sidecar inside the context."""
+    async with AsyncExitStack() as stack:
+        upstream = await stack.enter_async_context(open_upstream(settings.upstream))
+        node = await _enter_node(
+            stack,
+            settings.node,
+            Role.SIDECAR,
+            forward_address=settings.forward_address,
+            service=settings.service,
+            weight=slow_start_weight(0.0, 1.0),
+        )
+        target = TargetRef(
+            settings.forward_address,
+            service_id(settings.service),
+            node.me.incarnation,
+        )
+
+        def service() -> Service | None:
+            return daemon.service
+
+        pipeline = RequestPipeline(
+            service, target, settings.node.keys, node.clock, upstream.run
+        )
+        sidecar = Sidecar(
+            target=target,
+            zone=settings.node.zone,
+            node_id=settings.node.node_id,
+            service=settings.service,
+            keys=settings.node.keys,
+            members=node.members,
+            clock=node.clock,
+            configuration=quic_configuration(
+                settings.certificate_path, settings.private_key_path
+            ),
+            handler=pipeline,
+        )
+        monitor = UpstreamMonitor(upstream, settings.health_path)
+        daemon = SidecarDaemon(settings, node, sidecar, pipeline, monitor)
+        await stack.enter_async_context(sidecar.serving(settings.forward_address))
+        node.manifests.accepted.subscribe(daemon.apply_manifest)
+        monitor.changes.subscribe(daemon.follow_upstream)
+        stack.enter_context(_background(monitor.run()))
+        yield daemon
+
+
+async def _enter_node(
+    stack: AsyncExitStack, settings: NodeSettings, role: Role, **arguments: object
+) -> Node:
+    store = None
+    if settings.store_url and role is Role.ENTRY:
+        store = await stack.enter_async_context(ConsulStore.open(settings.store_url))
+    return await stack.enter_async_context(
+        running_node(settings, role, store=store, **arguments)
+    )
+
+
+def _apply(entry: Entry, accepted: AcceptedManifest) -> None:
+    try:
+        entry.apply_manifest(accepted)
+    except ManifestError as error:
+        logger.error(
+            "event=manifest_not_applied generation={} error={!r}",
+            accepted.generation,
+            str(error),
+        )
+
+
+@contextmanager
+def _background(coroutine) -> Iterator[None]:
+    task = asyncio.ensure_future(coroutine)
+    try:
+        yield
+    finally:
+        task.cancel()
+
+
+async def _first_of(*awaitables) -> None:
+    tasks = [asyncio.ensure_future(a) for a in awaitables]
+    await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+    for task in tasks:
+        task.cancel()
+
