Add the data path: placement, routing, entry instance and fabric stand-in

Cause: packets need a way from callers to targets and back. Change: ids issued by targets name the target; first packets are placed by weighted Maglev tables that follow the member table, with a guard against mass reports of failure. The fabric stand-in sprays single packets. Conclusion: a flow passes both ways over loopback sockets in the tests; throughput is not measured yet.

--- /dev/null
+++ b/src/cranberryhold/entry.py
@@ -0,0 +1,289 @@
+"""Entry instance: takes callers' packets and forwards each to its target."""
+
+import asyncio
+import socket
+from collections import Counter
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+
+from loguru import logger
+
+from cranberryhold.addresses import Address
+from cranberryhold.clock import Clock, SystemClock
+from cranberryhold.exceptions import ManifestError
+from cranberryhold.keys import KeyRing
+from cranberryhold.manifest import AcceptedManifest
+from cranberryhold.members import MemberTable
+from cranberryhold.packets import FORWARD_HEADER_BYTES, Direction, ForwardCodec
+from cranberryhold.routing import MAXIMUM_PACKET_BYTES, Drop, Router
+from cranberryhold.settings import EntrySettings
+from cranberryhold.targets import ServiceTargets, TargetTables
+
+# Packets read per readiness event: enough to spread the cost of the event loop,
+# few enough that control tasks wait less than a millisecond or two.
+_BATCH_PACKETS = 64
+_RECEIVE_BYTES = MAXIMUM_PACKET_BYTES + FORWARD_HEADER_BYTES + 1
+_SOCKET_BUFFER_BYTES = 4 * 1024 * 1024
+_REOPEN_S = 1.0
+
+Peer = tuple[str, int]
+
+
+@dataclass(slots=True)
+class _ServicePort:
+    """A socket on which packets for one service arrive."""
+
+    listen: Address
+    service: ServiceTargets
+    addresses: tuple[Address, ...]
+    """The service's addresses in the manifest; the first goes into headers."""
+    packed: bytes
+    sock: socket.socket | None = None
+
+
+class Entry:
+    """Forwards callers' packets to targets, and targets' replies to callers.
+
+    It holds no state per flow. Packets to targets leave from the forward address,
+    where the replies arrive.
+
+    :param keys: key ring of the deployment.
+    :param members: what is believed of the members.
+    :param settings: settings of the instance.
+    """
+
+    def __init__(
+        self,
+        *,
+        keys: KeyRing,
+        members: MemberTable,
+        settings: EntrySettings,
+        clock: Clock | None = None,
+    ) -> None:
+        self._settings = settings
+        self._clock = clock or SystemClock()
+        self._tables = TargetTables(members, self._clock)
+        self._router = Router(keys, self._tables)
+        self._to_target = ForwardCodec(keys, Direction.TO_TARGET)
+        self._to_caller = ForwardCodec(keys, Direction.TO_CALLER)
+        self._accepted: AcceptedManifest | None = None
+        self._ports: dict[Address, _ServicePort] = {}
+        self._reply_ports: dict[Address, _ServicePort] = {}
+        self._forward: socket.socket | None = None
+        self._counts: Counter[str] = Counter()
+        self._drops: Counter[Drop] = Counter()
+
+    @property
+    def generation(self) -> int:
+        """Generation of the manifest in force, 0 before the first."""
+        return self._accepted.generation if self._accepted else 0
+
+    @property
+    def drops(self) -> dict[Drop, int]:
+        """Number of packets dropped, by reason."""
+        return dict(self._drops)
+
+    def state(self) -> dict[str, object]:
+        """Return the state for a dump; it can be written as JSON."""
+        return {
+            "generation": self.generation,
+            "forward_address": str(self._settings.forward_address),
+            "forwarded": self._counts["forwarded"],
+            "returned": self._counts["returned"],
+            "dropped": {drop.value: self._drops[drop] for drop in Drop},
+            "addresses": [
+                {
+                    "service": port.service.name,
+                    "addresses": [str(a) for a in port.addresses],
+                    "listen": str(port.listen),
+                    "open": port.sock is not None,
+                }
+                for port in self._ports.values()
+            ],
+            "tables": {s.name: _table_state(s) for s in self._tables},
+        }
+
+    def apply_manifest(self, accepted: AcceptedManifest) -> None:
+        """Put a manifest in force: open and close service addresses.
+
+        A generation that is not higher than the one in force changes nothing.
+
+        :raises ManifestError: if ``listen_ip`` makes two services share an
+            address; nothing changes then.
+        """
+        if accepted.generation <= self.generation:
+            return
+        services = accepted.manifest.services
+        wanted = self._wanted_ports(accepted)
+        self._accepted = accepted
+        self._tables.track(s.name for s in services)
+        for listen in self._ports.keys() - wanted.keys():
+            self._close(self._ports[listen])
+        for listen, (name, addresses) in wanted.items():
+            before = self._ports.get(listen)
+            wanted[listen] = _ServicePort(
+                listen,
+                self._tables[name],
+                addresses,
+                addresses[0].pack(),
+                self._detach(before),
+            )
+        self._ports = wanted
+        self._reply_ports = {a: p for p in wanted.values() for a in p.addresses}
+        if self._forward is not None:
+            self._open_ports()
+        logger.info(
+            "event=manifest-in-force generation={} services={} addresses={}",
+            accepted.generation,
+            len(services),
+            len(self._reply_ports),
+        )
+
+    @asynccontextmanager
+    async def serving(self) -> AsyncIterator["Entry"]:
+        """Forward packets inside the context; sockets are closed on leaving it."""
+        self._forward = _bound_socket(self._settings.forward_address)
+        self._read(self._forward, self._take_replies)
+        reopening = asyncio.create_task(self._reopen_ports())
+        try:
+            self._open_ports()
+            async with self._tables.following():
+                yield self
+        finally:
+            reopening.cancel()
+            for port in self._ports.values():
+                self._close(port)
+            asyncio.get_running_loop().remove_reader(self._forward)
+            self._forward.close()
+            self._forward = None
+
+    def _wanted_ports(
+        self, accepted: AcceptedManifest
+    ) -> dict[Address, tuple[str, tuple[Address, ...]]]:
+        wanted: dict[Address, tuple[str, tuple[Address, ...]]] = {}
+        for service in accepted.manifest.services:
+            for address in service.endpoints:
+                listen = Address(self._settings.listen_ip or address.ip, address.port)
+                name, addresses = wanted.get(listen, (service.name, ()))
+                if name != service.name:
+                    raise ManifestError(
+                        f"services {name} and {service.name} both use port "
+                        f"{address.port}: with a listen address each service needs "
+                        "its own port",
+                        key=f"services.{service.name}.addresses",
+                        step="open addresses",
+                    )
+                wanted[listen] = (name, (*addresses, address))
+        return wanted
+
+    def _open_ports(self) -> None:
+        for port in self._ports.values():
+            if port.sock is not None:
+                continue
+            try:
+                port.sock = _bound_socket(port.listen)
+            except OSError as error:
+                logger.error(
+                    "event=address-not-opened service={} listen={} error={!r}",
+                    port.service.name,
+                    port.listen,
+                    str(error),
+                )
+                continue
+            self._read(port.sock, self._take_packets, port.listen)
+
+    async def _reopen_ports(self) -> None:
+        while True:
+            await self._clock.sleep(_REOPEN_S)
+            self._open_ports()
+
+    def _read(self, sock: socket.socket, callback: Callable, *args: object) -> None:
+        asyncio.get_running_loop().add_reader(sock, callback, sock, *args)
+
+    def _detach(self, port: _ServicePort | None) -> socket.socket | None:
+        return port.sock if port is not None else None
+
+    def _close(self, port: _ServicePort) -> None:
+        if port.sock is not None:
+            asyncio.get_running_loop().remove_reader(port.sock)
+            port.sock.close()
+            port.sock = None
+
+    def _take_packets(self, sock: socket.socket, listen: Address) -> None:
+        port = self._ports[listen]
+        service, address = port.service, port.packed
+        route, header_for = self._router.route, self._to_target.header_for
+        send = self._forward.sendto
+        for _ in range(_BATCH_PACKETS):
+            try:
+                packet, caller = sock.recvfrom(_RECEIVE_BYTES)
+            except OSError:
+                return
+            target = route(service, packet)
+            if target.__class__ is Drop:
+                self._drops[target] += 1
+                continue
+            header = header_for(_pack(caller), address)
+            try:
+                send(header + packet, _unpack(target))
+            except OSError:
+                self._drops[Drop.SEND_FAILED] += 1
+            else:
+                self._counts["forwarded"] += 1
+
+    def _take_replies(self, sock: socket.socket) -> None:
+        decode, ports = self._to_caller.decode, self._reply_ports
+        for _ in range(_BATCH_PACKETS):
+            try:
+                datagram = sock.recv(_RECEIVE_BYTES)
+            except OSError:
+                return
+            if len(datagram) == _RECEIVE_BYTES:
+                self._drops[Drop.OVERSIZED] += 1
+                continue
+            reply = decode(datagram)
+            if reply is None:
+                self._drops[Drop.FORGED_HEADER] += 1
+                continue
+            port = ports.get(reply.service_address)
+            if port is None or port.sock is None:
+                self._drops[Drop.UNKNOWN_ADDRESS] += 1
+                continue
+            caller = reply.caller
+            try:
+                port.sock.sendto(reply.packet, (caller.ip, caller.port))
+            except OSError:
+                self._drops[Drop.SEND_FAILED] += 1
+            else:
+                self._counts["returned"] += 1
+
+
+def _bound_socket(address: Address) -> socket.socket:
+    sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    try:
+        sock.setblocking(False)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, _SOCKET_BUFFER_BYTES)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, _SOCKET_BUFFER_BYTES)
+        sock.bind((address.ip, address.port))
+    except OSError:
+        sock.close()
+        raise
+    return sock
+
+
+def _pack(peer: Peer) -> bytes:
+    return socket.inet_aton(peer[0]) + peer[1].to_bytes(2, "big")
+
+
+def _unpack(packed: bytes) -> Peer:
+    return socket.inet_ntoa(packed[:4]), int.from_bytes(packed[4:], "big")
+
+
+def _table_state(service: ServiceTargets) -> dict[str, object]:
+    table = service.table
+    weights = table.weights if table is not None else ()
+    return {
+        "targets": {str(Address.unpack(target)): weight for target, weight in weights},
+        "held": sorted(service.guard.held),
+    }
--- /dev/null
+++ b/src/cranberryhold/placement.py
@@ -0,0 +1,146 @@
+"""Placement of new flows: weighted Maglev hashing, slow start, bounded load.
+
+Source of the table: Eisenbud et al., "Maglev: A Fast and Reliable Software
+Network Load Balancer" (NSDI 2016), section 3.4. Weights follow from giving each
+target turns in proportion to its weight.
+"""
+
+from collections.abc import Iterable, Sequence
+from hashlib import blake2b
+
+from cranberryhold.members import FULL_WEIGHT
+
+# Few sizes, so that a join seldom changes the size, which would move most keys.
+# Each size has at least 100 slots per target up to 655 targets, which keeps the
+# shares of equal targets within 1% of each other (Maglev, section 5.3).
+TABLE_SIZES = (2039, 16381, 65537)
+_SLOTS_PER_TARGET = 100
+
+SLOW_START_STEP = 10
+BOUNDED_LOAD_FACTOR = 1.25
+
+
+class MaglevTable:
+    """Maps keys to targets so that each gets a share in proportion to its weight.
+
+    The table depends on the set of targets, their weights and the salt alone, not
+    on the order of the targets or on earlier tables, so all instances with equal
+    members agree.
+
+    >>> table = MaglevTable([(b"one", 100), (b"two", 0)])
+    >>> table.choice(b"key")
+    b'one'
+
+    :param weights: targets and their weights; a target of weight 0 gets no share.
+    :param salt: makes the tables of different services independent.
+    """
+
+    def __init__(self, weights: Iterable[tuple[bytes, int]], salt: bytes = b"") -> None:
+        self._weights = tuple(sorted((t, w) for t, w in dict(weights).items() if w > 0))
+        self._salt = salt
+        self._targets = tuple(target for target, _ in self._weights)
+        self._size = table_size(len(self._targets))
+        self._slots = self._fill() if self._targets else []
+
+    @property
+    def weights(self) -> tuple[tuple[bytes, int], ...]:
+        """Targets with a share and their weights, in the order of the targets."""
+        return self._weights
+
+    @property
+    def size(self) -> int:
+        """Number of slots."""
+        return self._size
+
+    def choice(self, key: bytes) -> bytes | None:
+        """Return the target of a key, or None if the table is empty."""
+        if not self._slots:
+            return None
+        return self._slots[_hash(key, self._salt) % self._size]
+
+    def second_choice(self, key: bytes, instead_of: bytes) -> bytes | None:
+        """Return the target that takes a key which ``instead_of`` passes on.
+
+        That is the key's choice if it is another target, which happens when the
+        table is newer than the one that sent the key to ``instead_of``; otherwise
+        the next other target on the key's probe sequence. None if there is none.
+        """
+        if not any(target != instead_of for target in self._targets):
+            return None
+        number = _hash(key, self._salt)
+        slot, step = number % self._size, 1 + (number >> 32) % (self._size - 1)
+        # The size is prime, so the sequence visits every slot.
+        while self._slots[slot] == instead_of:
+            slot = (slot + step) % self._size
+        return self._slots[slot]
+
+    def _fill(self) -> list[bytes]:
+        size = self._size
+        slots: list[bytes | None] = [None] * size
+        heaviest = max(weight for _, weight in self._weights)
+        # Per target: next slot of its permutation, step, weight, unused turns.
+        rows = []
+        for target, weight in self._weights:
+            number = _hash(target, self._salt)
+            step = 1 + (number >> 32) % (size - 1)
+            rows.append([number % size, step, weight, 0, target])
+        left = size
+        while True:
+            for row in rows:
+                slot, step, weight, turns, target = row
+                turns += weight
+                if turns < heaviest:
+                    row[3] = turns
+                    continue
+                while slots[slot] is not None:
+                    slot = (slot + step) % size
+                slots[slot] = target
+                row[0], row[3] = slot, turns - heaviest
+                left -= 1
+                if not left:
+                    return slots
+
+
+def table_size(targets: int) -> int:
+    """Return the number of slots, a prime, for a number of targets."""
+    wanted = targets * _SLOTS_PER_TARGET
+    return next((size for size in TABLE_SIZES if size >= wanted), TABLE_SIZES[-1])
+
+
+def slow_start_weight(age_s: float, duration_s: float) -> int:
+    """Return the weight of a target that started ``age_s`` seconds ago.
+
+    It rises from 10 to 100 in steps of 10, since each step is a change that all
+    members hear of.
+    """
+    if age_s >= duration_s:
+        return FULL_WEIGHT
+    steps = FULL_WEIGHT // SLOW_START_STEP - 1
+    return SLOW_START_STEP * (1 + int(max(age_s, 0.0) / duration_s * steps))
+
+
+def slow_start_schedule(duration_s: float) -> tuple[tuple[float, int], ...]:
+    """Return when a starting target takes which weight, as (age in s, weight)."""
+    if duration_s <= 0:
+        return ((0.0, FULL_WEIGHT),)
+    steps = FULL_WEIGHT // SLOW_START_STEP - 1
+    return tuple(
+        (duration_s * step / steps, SLOW_START_STEP * (1 + step))
+        for step in range(steps + 1)
+    )
+
+
+def passes_on(own: int, peers: Sequence[int], already_passed_on: bool) -> bool:
+    """Whether a target passes a first packet on to the table's second choice.
+
+    :param own: connections open at this target.
+    :param peers: connections open at the service's other targets, as last heard.
+    :param already_passed_on: whether a peer passed the packet on to this target.
+    """
+    if already_passed_on or not peers:
+        return False
+    return own * len(peers) > BOUNDED_LOAD_FACTOR * sum(peers)
+
+
+def _hash(key: bytes, salt: bytes) -> int:
+    return int.from_bytes(blake2b(key, digest_size=8, key=salt).digest(), "big")
--- /dev/null
+++ b/src/cranberryhold/routing.py
@@ -0,0 +1,71 @@
+"""The routing decision per packet.
+
+An id issued by a target names the target, so an established flow is routed without
+any table and equally by all instances. Tables decide first packets only.
+"""
+
+from enum import Enum
+
+from cranberryhold.connection_ids import CONNECTION_ID_BYTES, ConnectionIdCodec
+from cranberryhold.keys import KeyRing
+from cranberryhold.packets import is_first_packet, read_connection_id
+from cranberryhold.targets import ServiceTargets, TargetTables
+
+# No QUIC packet that crosses an Ethernet link with the usual MTU is larger.
+MAXIMUM_PACKET_BYTES = 1500
+_LONG_HEADER = 0x80
+
+
+class Drop(Enum):
+    """Why a packet was dropped."""
+
+    TRUNCATED = "truncated"
+    OVERSIZED = "oversized"
+    UNKNOWN_ID = "unknown-id"
+    """A short header whose id was not issued under a key of the ring."""
+    OTHER_SERVICE = "other-service"
+    """The id names a target of another service than the address's."""
+    NOT_FIRST = "not-first"
+    """A long header with an unknown id that may not open a connection."""
+    NO_TARGET = "no-target"
+    """A first packet of a service without targets."""
+    FORGED_HEADER = "forged-header"
+    """A reply whose forward header is not authentic."""
+    UNKNOWN_ADDRESS = "unknown-address"
+    """A reply from a service address that is not served here."""
+    SEND_FAILED = "send-failed"
+    """The kernel did not take the packet."""
+
+
+class Router:
+    """Decides where a packet goes.
+
+    :param keys: key ring of the deployment.
+    :param tables: tables for first packets.
+    """
+
+    def __init__(self, keys: KeyRing, tables: TargetTables) -> None:
+        self._decode = ConnectionIdCodec(keys).decode
+        self._tables = tables
+
+    def route(self, service: ServiceTargets, packet: bytes) -> bytes | Drop:
+        """Return the packed address of the packet's target, or why it is dropped.
+
+        :param service: service of the address on which the packet arrived.
+        """
+        if len(packet) > MAXIMUM_PACKET_BYTES:
+            return Drop.OVERSIZED
+        connection_id = read_connection_id(packet)
+        if connection_id is None:
+            return Drop.TRUNCATED
+        if len(connection_id) == CONNECTION_ID_BYTES:
+            target = self._decode(connection_id)
+            if target is not None:
+                if target.service_id != service.service_id:
+                    return Drop.OTHER_SERVICE
+                return target.address.pack()
+        if not packet[0] & _LONG_HEADER:
+            return Drop.UNKNOWN_ID
+        if not is_first_packet(packet):
+            return Drop.NOT_FIRST
+        return self._tables.table_of(service).choice(connection_id) or Drop.NO_TARGET
--- /dev/null
+++ b/tests/routes.py
@@ -0,0 +1,45 @@
+"""Builders that the data path's tests share."""
+
+import asyncio
+from collections.abc import Callable
+
+from cranberryhold.addresses import Address
+from cranberryhold.keys import KeyRing
+from cranberryhold.manifest import AcceptedManifest, Manifest, Service
+from cranberryhold.members import Member, Role
+
+RING = KeyRing({1: bytes(range(32))})
+
+
+def target(node_id: str, address: str, service: str = "core", **fields) -> Member:
+    """Return a sidecar's record."""
+    where = Address.parse(address)
+    return Member(node_id, Role.SIDECAR, "z", "r", where, where, service, **fields)
+
+
+def accepted(generation: int = 1, **services: tuple[str, ...]) -> AcceptedManifest:
+    """Return a manifest with these services and addresses."""
+    manifest = Manifest(
+        services=tuple(Service(name=n, addresses=a) for n, a in services.items())
+    )
+    return AcceptedManifest(
+        generation=generation, submission_id=f"s{generation}", manifest=manifest
+    )
+
+
+def initial(connection_id: bytes, size: int = 1200) -> bytes:
+    """Return an Initial packet of QUIC version 1, padded to ``size`` bytes."""
+    head = b"\xc0\x00\x00\x00\x01" + bytes((len(connection_id),)) + connection_id
+    return head.ljust(size, b"\0")
+
+
+def short(connection_id: bytes, size: int = 200) -> bytes:
+    """Return a short-header packet, padded to ``size`` bytes."""
+    return (b"\x40" + connection_id).ljust(size, b"\1")
+
+
+async def until(condition: Callable[[], object]) -> None:
+    """Let the event loop run until the condition holds; fail after 10 s."""
+    async with asyncio.timeout(10):
+        for _ in iter(lambda: bool(condition()), True):
+            await asyncio.sleep(0)
--- /dev/null
+++ b/tests/sockets.py
@@ -0,0 +1,42 @@
+"""Loopback sockets for tests."""
+
+import asyncio
+import os
+import socket
+from ipaddress import IPv4Address
+
+from cranberryhold.addresses import Address
+
+# An address per test process, so that parallel runs never share a port.
+LOCAL = str(IPv4Address("127.64.0.0") + os.getpid())
+
+
+class Peer:
+    """A UDP socket that tests send and receive with; closed by its context."""
+
+    def __init__(self, ip: str = LOCAL, port: int = 0) -> None:
+        self.socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.socket.setblocking(False)
+        self.socket.bind((ip, port))
+        self.address = Address(*self.socket.getsockname())
+
+    def __enter__(self) -> "Peer":
+        return self
+
+    def __exit__(self, *_) -> None:
+        self.socket.close()
+
+    def send(self, data: bytes, to: Address) -> None:
+        self.socket.sendto(data, (to.ip, to.port))
+
+    async def receive(self) -> tuple[bytes, Address]:
+        loop = asyncio.get_running_loop()
+        async with asyncio.timeout(10):
+            data, source = await loop.sock_recvfrom(self.socket, 65535)
+        return data, Address(*source)
+
+
+def free_port() -> int:
+    """Return a UDP port of LOCAL that was free just now."""
+    with Peer() as peer:
+        return peer.address.port
--- /dev/null
+++ b/tests/test_entry.py
@@ -0,0 +1,132 @@
+"""Entry on loopback sockets: packets and replies must pass through unchanged."""
+
+import json
+from contextlib import asynccontextmanager
+
+import pytest
+
+from cranberryhold.addresses import Address
+from cranberryhold.connection_ids import ConnectionIdCodec, TargetRef
+from cranberryhold.entry import Entry
+from cranberryhold.exceptions import ManifestError
+from cranberryhold.manifest import service_id
+from cranberryhold.members import MemberTable
+from cranberryhold.packets import Direction, ForwardCodec
+from cranberryhold.routing import Drop
+from cranberryhold.settings import EntrySettings, NodeSettings
+from tests.routes import RING, accepted, initial, short, target, until
+from tests.sockets import LOCAL, Peer, free_port
+
+CORE = "10.9.8.7"
+TO_TARGET = ForwardCodec(RING, Direction.TO_TARGET)
+TO_CALLER = ForwardCodec(RING, Direction.TO_CALLER)
+
+
+@pytest.fixture
+def peers():
+    with Peer() as caller, Peer() as upstream:
+        yield caller, upstream
+
+
+@asynccontextmanager
+async def running_entry(members: MemberTable, **services: tuple[str, ...]):
+    settings = EntrySettings(
+        NodeSettings("e1", "z", "r", Address(LOCAL, 1), (), RING),
+        forward_address=Address(LOCAL, free_port()),
+        listen_ip=LOCAL,
+    )
+    entry = Entry(keys=RING, members=members, settings=settings)
+    entry.apply_manifest(accepted(**services))
+    async with entry.serving():
+        yield entry, settings.forward_address
+
+
+async def test_flow_passes_both_ways_with_the_manifests_address(peers) -> None:
+    caller, upstream = peers
+    port = free_port()
+    service, listen = Address(CORE, port), Address(LOCAL, port)
+    members = MemberTable()
+    members.merge(target("t1", str(upstream.address)))
+    async with running_entry(members, core=(str(service),)) as (entry, forward):
+        for packet in (
+            initial(b"8 bytes!"),
+            short(
+                ConnectionIdCodec(RING).encode(
+                    TargetRef(upstream.address, service_id("core"), 1), 1
+                )
+            ),
+        ):
+            caller.send(packet, listen)
+            datagram, source = await upstream.receive()
+            forwarded = TO_TARGET.decode(datagram)
+            assert source == forward
+            assert forwarded.caller == caller.address
+            assert forwarded.service_address == service
+            assert forwarded.packet == packet
+        reply = TO_CALLER.header(caller.address, service) + b"answer"
+        upstream.send(reply, forward)
+        assert await caller.receive() == (b"answer", listen)
+        state = json.loads(json.dumps(entry.state()))
+        assert (state["forwarded"], state["returned"]) == (2, 1)
+
+
+async def test_bad_replies_are_counted_and_reach_no_one(peers) -> None:
+    caller, upstream = peers
+    service = Address(CORE, free_port())
+    other = Address(CORE, 9)
+    header = TO_CALLER.header(caller.address, service)
+    async with running_entry(MemberTable(), core=(str(service),)) as (entry, forward):
+        for bad in (
+            b"",
+            header,  # truncated: no packet
+            bytes((header[0], header[1] ^ 1)) + header[2:] + b"forged",
+            TO_TARGET.header(caller.address, service) + b"wrong direction",
+            TO_CALLER.header(caller.address, other) + b"not served here",
+            header + bytes(2000),
+        ):
+            upstream.send(bad, forward)
+        upstream.send(header + b"good", forward)
+        assert (await caller.receive())[0] == b"good"
+        assert entry.drops == {
+            Drop.FORGED_HEADER: 4,
+            Drop.UNKNOWN_ADDRESS: 1,
+            Drop.OVERSIZED: 1,
+        }
+
+
+async def test_manifest_opens_and_closes_addresses_and_never_reverts(peers) -> None:
+    caller, upstream = peers
+    first, second = free_port(), free_port()
+    members = MemberTable()
+    members.merge(target("t1", str(upstream.address)))
+    async with running_entry(members, core=(f"{CORE}:{first}",)) as (entry, _):
+        entry.apply_manifest(accepted(3, core=(f"{CORE}:{second}",)))
+        entry.apply_manifest(accepted(2, core=(f"{CORE}:{first}",)))
+        assert entry.generation == 3
+        caller.send(initial(b"8 bytes!"), Address(LOCAL, second))
+        datagram, _ = await upstream.receive()
+        assert TO_TARGET.decode(datagram).service_address == Address(CORE, second)
+        with Peer(LOCAL, first):
+            pass  # The closed address can be bound again.
+
+
+async def test_members_that_join_later_take_first_packets(peers) -> None:
+    caller, upstream = peers
+    listen = Address(LOCAL, free_port())
+    members = MemberTable()
+    async with running_entry(members, core=(str(listen),)) as (entry, _):
+        caller.send(initial(b"8 bytes!"), listen)
+        await until(lambda: entry.drops == {Drop.NO_TARGET: 1})
+        members.merge(target("t1", str(upstream.address)))
+        await until(lambda: entry.state()["tables"]["core"]["targets"])
+        caller.send(initial(b"8 bytes!"), listen)
+        await upstream.receive()
+
+
+async def test_one_port_for_two_services_is_refused_and_changes_nothing() -> None:
+    async with running_entry(MemberTable()) as (entry, _):
+        with pytest.raises(ManifestError, match="needs its own port"):
+            entry.apply_manifest(
+                accepted(2, core=(f"{CORE}:99",), intake=("10.0.0.1:99",))
+            )
+        assert entry.generation == 1
--- /dev/null
+++ b/tests/test_fabric.py
@@ -0,0 +1,64 @@
+"""Fabric: it must spray packets, hide the entry instances and outlive them."""
+
+import random
+
+from cranberryhold.addresses import Address
+from emulator.fabric import Fabric, Impairment
+from tests.routes import until
+from tests.sockets import LOCAL, Peer, free_port
+
+
+async def test_packets_are_sprayed_and_replies_come_from_the_service() -> None:
+    service = Address(LOCAL, free_port())
+    with Peer() as client, Peer("127.0.0.1", service.port) as entry:
+        impairment = Impairment(source=random.Random(3))
+        fabric = Fabric([service], ["127.0.0.1", "127.0.0.2"], impairment)
+        async with fabric.running():
+            # Nobody listens on 127.0.0.2, so about half of these are lost there.
+            for _ in range(40):
+                client.send(b"ping", service)
+            _, upstream = await entry.receive()
+            entry.send(b"pong", upstream)
+            assert await client.receive() == (b"pong", service)
+            await until(lambda: fabric.sent.total() == 40)
+            assert min(fabric.sent.values()) > 5
+            fabric.command("remove 127.0.0.2")
+            fabric.command("add 127.0.0.3")
+            fabric.command("remove 127.0.0.3")
+            client.send(b"last", service)
+            while (await entry.receive())[0] != b"last":
+                pass
+
+
+async def test_same_seed_loses_the_same_packets() -> None:
+    def delivered(seed: int) -> list[int]:
+        impairment = Impairment(loss=0.3, source=random.Random(seed))
+        carried: list[int] = []
+        for number in range(50):
+            impairment.carry(lambda n=number: carried.append(n))
+        return carried
+
+    assert delivered(5) == delivered(5) != delivered(6)
+    assert 20 < len(delivered(5)) < 50
+
+
+async def test_control_datagrams_are_sprayed_and_answered() -> None:
+    front = Address(LOCAL, free_port())
+    with Peer() as member, Peer() as control:
+        fabric = Fabric([], [], Impairment(delay_ms=1), {front: [control.address]})
+        async with fabric.running():
+            member.send(b"hello", front)
+            data, source = await control.receive()
+            control.send(data.upper(), source)
+            assert await member.receive() == (b"HELLO", front)
+
+
+async def test_clients_have_distinct_addresses_at_the_entry() -> None:
+    service = Address(LOCAL, free_port())
+    with Peer() as one, Peer() as two, Peer("127.0.0.1", service.port) as entry:
+        async with Fabric([service], ["127.0.0.1"], Impairment()).running():
+            seen = set()
+            for client in (one, two, one):
+                client.send(b"x", service)
+                seen.add((await entry.receive())[1])
+    assert len(seen) == 2
