Add membership, control calls, manifest distribution and the node

The daemons need one common part: a member record that is kept up to date, calls between members, and the manifest in force.

- A generation is adopted only if it is higher; readers hold watches on the store; other members take the delta from the announcement or from its sender.
- Incarnations are compared as serial numbers, because they wrap every 497 days.

tools/clusters.py runs a whole cluster in one process and in virtual time, for tests and measurements.

--- /dev/null
+++ b/src/cranberryhold/distribution.py
@@ -0,0 +1,459 @@
+"""The manifest in force: reading it from the store and spreading it to all members.
+
+A process adopts only a higher generation, and validates it again. Readers hold a
+watch on the store; everyone else hears of a new generation by gossip and takes the
+changed services from the datagram or from the member that told of it.
+"""
+
+import asyncio
+from hashlib import blake2b
+from random import Random
+
+from loguru import logger
+from pydantic import ValidationError
+from reactivex import Observable
+from reactivex.subject import ReplaySubject
+
+from cranberryhold.addresses import Address
+from cranberryhold.clock import Clock
+from cranberryhold.deltas import (
+    apply_delta,
+    delta_to,
+    encode_delta,
+    manifest_digest,
+    read_delta,
+    service_digests,
+)
+from cranberryhold.exceptions import ManifestError, PeerError, StoreError
+from cranberryhold.keys import KeyRing
+from cranberryhold.links import Calls, Link, UdpLink
+from cranberryhold.manifest import AcceptedManifest
+from cranberryhold.members import Member, MemberChange, MemberTable, Role
+from cranberryhold.membership import Membership
+from cranberryhold.messages import (
+    Announcement,
+    Heartbeat,
+    ManifestDelta,
+    ManifestRequest,
+    Status,
+    StatusRequest,
+    decode_datagram,
+    encode,
+)
+from cranberryhold.store import Store
+
+MANIFEST_KEY = "cranberryhold/manifest"
+
+READERS_PER_ZONE = 2
+"""Two, so that one may fail unnoticed; at 8 zones the store has 16 waiting watches."""
+
+WATCH_TIMEOUT_S = 55.0
+WATCH_GRACE_S = 10.0
+"""Seconds after which a watch that should have ended counts as failed."""
+
+MIN_WATCH_S = 0.2
+"""Shortest time between two watches, against a store that answers at once."""
+
+MIN_IDLE_WATCH_S = 1.0
+"""The same for answers without news, such as those for a missing key."""
+
+BACKOFF_S = (0.5, 5.0)
+
+INLINE_DELTA_BYTES = 900
+ANNOUNCE_FANOUT = 4
+PULL_TIMEOUT_S = 3.0
+PULL_TRIES = 5
+PULL_PAUSE_S = 0.2
+SOURCES = 4
+
+
+class ManifestState:
+    """The generation in force at this process; it only ever rises.
+
+    >>> state = ManifestState(clock)    # doctest: +SKIP
+    >>> state.accepted.subscribe(print)    # doctest: +SKIP
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._current: AcceptedManifest | None = None
+        self._digest = b""
+        self._service_digests: dict[str, bytes] = {}
+        self._accepted: ReplaySubject[AcceptedManifest] = ReplaySubject(1)
+        self._store_reached_at: float | None = None
+        self.store_is_behind = False
+        self.alarms = 0
+        self.refused = 0
+
+    @property
+    def current(self) -> AcceptedManifest | None:
+        """The manifest in force, or None."""
+        return self._current
+
+    @property
+    def accepted(self) -> Observable[AcceptedManifest]:
+        """Stream of adopted manifests; starts with the one in force."""
+        return self._accepted
+
+    @property
+    def generation(self) -> int:
+        """Generation in force, 0 for none."""
+        return self._current.generation if self._current else 0
+
+    @property
+    def digest(self) -> bytes:
+        """Digest of the manifest in force, empty for none."""
+        return self._digest
+
+    @property
+    def service_digests(self) -> dict[str, bytes]:
+        """Digest of each service in force."""
+        return self._service_digests
+
+    @property
+    def store_age_s(self) -> float | None:
+        """Seconds since the store was last known to answer, or None."""
+        if self._store_reached_at is None:
+            return None
+        return self._clock.monotonic() - self._store_reached_at
+
+    def adopt(self, accepted: AcceptedManifest) -> bool:
+        """Put a manifest in force if its generation is higher than the present one.
+
+        :raises ManifestError: if it is not valid.
+        """
+        if accepted.generation <= self.generation:
+            return False
+        try:
+            accepted = AcceptedManifest.model_validate(accepted.model_dump())
+        except ValidationError as error:
+            self.refused += 1
+            raise ManifestError(
+                f"generation {accepted.generation} is not valid: {error}",
+                step="adopt manifest",
+            ) from error
+        self._current = accepted
+        self._digest = manifest_digest(accepted)
+        self._service_digests = service_digests(accepted)
+        logger.info(
+            "event=manifest-adopted generation={} submission={}",
+            accepted.generation,
+            accepted.submission_id,
+        )
+        self._accepted.on_next(accepted)
+        return True
+
+    def adopt_from_store(self, accepted: AcceptedManifest) -> bool:
+        """Adopt what the store holds; raise an alarm if the store has gone back.
+
+        The store has gone back if its generation is lower than the one in force, or
+        equal with another content. That changes nothing here.
+        """
+        behind = accepted.generation < self.generation or (
+            accepted.generation == self.generation
+            and manifest_digest(accepted) != self._digest
+        )
+        self.store_is_behind = behind
+        if not behind:
+            return self.adopt(accepted)
+        self.alarms += 1
+        logger.error(
+            "event=store-went-back store_generation={} generation={} remedy={!r}",
+            accepted.generation,
+            self.generation,
+            "restore the store's value, or apply until its generation is higher",
+        )
+        return False
+
+    def note_store_reached(self, age_s: float = 0.0) -> None:
+        """Note that the store answered this many seconds ago."""
+        at = self._clock.monotonic() - age_s
+        if self._store_reached_at is None or at > self._store_reached_at:
+            self._store_reached_at = at
+
+    def state(self) -> dict[str, object]:
+        """Return the state for the dump."""
+        age = self.store_age_s
+        return {
+            "generation": self.generation,
+            "digest": self._digest.hex(),
+            "services": sorted(self._service_digests),
+            "store_age_s": None if age is None else round(age, 1),
+            "store_is_behind": self.store_is_behind,
+            "store_alarms": self.alarms,
+            "refused": self.refused,
+        }
+
+
+class ManifestSpread:
+    """Tells other members of new generations and takes them from others.
+
+    A member passes an announcement on only after it has adopted the generation, and
+    names itself as the source: pulls are thus spread over all members. Heartbeats
+    carry the generation too, so that a member that missed every announcement pulls
+    after its next probe.
+    """
+
+    def __init__(
+        self, state: ManifestState, membership: Membership, calls: Calls
+    ) -> None:
+        self._state = state
+        self._membership = membership
+        self._calls = calls
+        self._heard = 0
+        self._sources: list[Address] = []
+        self._news = asyncio.Event()
+        self._latest: Announcement | None = None
+        self._previous: AcceptedManifest | None = None
+        self.pulls = 0
+        self.failed_pulls = 0
+        membership.on(Announcement, self._on_announcement)
+        membership.on(StatusRequest, self._on_status_request)
+        membership.heartbeat = self._heartbeat
+        membership.on_heartbeat = self._on_heartbeat
+        state.accepted.subscribe(self._announce)
+
+    async def run(self) -> None:
+        """Pull each generation that was heard of and is not in force yet."""
+        while True:
+            await self._news.wait()
+            tries = 0
+            while self._state.generation < self._heard and tries < PULL_TRIES:
+                if not await self._pull():
+                    tries += 1
+                    await self._pause(tries)
+            self._news.clear()
+
+    async def answer_manifest(self, request: ManifestRequest) -> ManifestDelta:
+        """Answer a pull."""
+        current = self._state.current
+        if current is None:
+            return ManifestDelta(generation=0)
+        delta = delta_to(current, request.digests, self._state.service_digests)
+        self._membership.budget.spend(len(encode(delta)))
+        return delta
+
+    async def _pull(self) -> bool:
+        source = self._next_source()
+        if source is None:
+            return False
+        request = ManifestRequest(
+            generation=self._state.generation, digests=self._state.service_digests
+        )
+        self.pulls += 1
+        try:
+            delta = await self._calls.call(source, request, PULL_TIMEOUT_S)
+            if isinstance(delta, ManifestDelta):
+                return self._state.adopt(apply_delta(self._state.current, delta))
+        except (PeerError, ManifestError) as error:
+            logger.warning("event=manifest-pull-failed peer={} {}", source, error)
+        self.failed_pulls += 1
+        return False
+
+    def _next_source(self) -> Address | None:
+        if self._sources:
+            return self._sources.pop()
+        membership = self._membership
+        others = membership.roster.pick(membership.rng, 1)
+        return others[0].control_address if others else None
+
+    async def _pause(self, tries: int) -> None:
+        rng = self._membership.rng
+        seconds = PULL_PAUSE_S * 2**tries * rng.random()
+        await self._membership.clock.sleep(seconds)
+
+    def _hear(self, generation: int, source: Address) -> None:
+        if generation <= self._state.generation:
+            return
+        if generation > self._heard:
+            self._heard = generation
+            self._sources.clear()
+        if len(self._sources) < SOURCES:
+            self._sources.append(source)
+        self._news.set()
+
+    def _on_announcement(self, message: Announcement, sender: Address) -> None:
+        if message.generation <= self._state.generation:
+            return
+        self._latest = message
+        if message.delta and message.base_digest == self._state.digest:
+            try:
+                delta = read_delta(message.delta)
+                accepted = apply_delta(self._state.current, delta)
+                if manifest_digest(accepted) == message.digest:
+                    self._state.adopt(accepted)
+                    return
+            except (PeerError, ManifestError) as error:
+                logger.warning("event=delta-refused peer={} {}", sender, error)
+        self._hear(message.generation, sender)
+
+    def _announce(self, accepted: AcceptedManifest) -> None:
+        message = self._latest
+        if message is None or message.digest != self._state.digest:
+            message = self._build_announcement(accepted)
+        self._latest, self._previous = message, accepted
+        membership = self._membership
+        for member in membership.roster.pick(membership.rng, ANNOUNCE_FANOUT):
+            membership.send(message, member.control_address)
+
+    def _build_announcement(self, accepted: AcceptedManifest) -> Announcement:
+        base = service_digests(self._previous) if self._previous else {}
+        base_digest = manifest_digest(self._previous) if self._previous else b""
+        delta = encode_delta(delta_to(accepted, base, self._state.service_digests))
+        if len(delta) > INLINE_DELTA_BYTES:
+            base_digest, delta = b"", b""
+        return Announcement(accepted.generation, self._state.digest, base_digest, delta)
+
+    def _heartbeat(self) -> Heartbeat:
+        age = self._state.store_age_s
+        return Heartbeat(self._state.generation, -1 if age is None else int(age))
+
+    def _on_heartbeat(self, sender: Address, heartbeat: Heartbeat) -> None:
+        if heartbeat.store_age_s >= 0:
+            self._state.note_store_reached(heartbeat.store_age_s)
+        self._hear(heartbeat.generation, sender)
+
+    def _on_status_request(self, message: StatusRequest, sender: Address) -> None:
+        me = self._membership.me
+        status = Status(message.number, me.node_id, self._heartbeat())
+        self._membership.send(status, sender)
+
+
+class ManifestReader:
+    """Watches the store while this entry instance is one of its zone's readers.
+
+    Readers are the live entry instances of a zone with the highest rendezvous
+    score. Two views of the membership may elect more of them, which is harmless.
+    """
+
+    def __init__(
+        self,
+        state: ManifestState,
+        store: Store,
+        me: Member,
+        table: MemberTable,
+        *,
+        clock: Clock,
+        rng: Random,
+    ) -> None:
+        self._state = state
+        self._store = store
+        self._me = me
+        self._table = table
+        self._clock = clock
+        self._rng = rng
+        self._changed = asyncio.Event()
+        self._revision = 0
+        self.watches = 0
+        self.failures = 0
+        table.changes.subscribe(self._on_change)
+
+    @property
+    def elected(self) -> bool:
+        """Whether this process is one of its zone's readers."""
+        if self._me.role is not Role.ENTRY:
+            return False
+        zone = [m.node_id for m in self._table.entries() if m.zone == self._me.zone]
+        return self._me.node_id in sorted(zone, key=_score)[:READERS_PER_ZONE]
+
+    async def run(self) -> None:
+        """Watch the store while elected."""
+        failures = 0
+        while True:
+            if not self.elected:
+                self._changed.clear()
+                await self._changed.wait()
+                continue
+            started = self._clock.monotonic()
+            try:
+                pause = await self._watch()
+                failures = 0
+            except (StoreError, TimeoutError) as error:
+                failures += 1
+                self.failures += 1
+                pause = self._backoff(failures)
+                logger.warning(
+                    "event=store-watch-failed retry_in_s={:.1f} error={!r}",
+                    pause,
+                    str(error),
+                )
+                started = self._clock.monotonic()
+            spent = self._clock.monotonic() - started
+            await self._clock.sleep(max(0.0, pause - spent))
+
+    async def _watch(self) -> float:
+        """Hold one watch; return the shortest time until the next one starts."""
+        self.watches += 1
+        async with asyncio.timeout(WATCH_TIMEOUT_S + WATCH_GRACE_S):
+            found = await self._store.watch(
+                MANIFEST_KEY, self._revision, WATCH_TIMEOUT_S
+            )
+        self._state.note_store_reached()
+        if found is None or found.revision == self._revision:
+            return MIN_IDLE_WATCH_S
+        self._revision = found.revision
+        self._take(found.value)
+        return MIN_WATCH_S
+
+    def _take(self, value: bytes) -> None:
+        try:
+            accepted = AcceptedManifest.model_validate_json(value)
+            self._state.adopt_from_store(accepted)
+        except (ValidationError, ManifestError) as error:
+            self._state.refused += 1
+            logger.error("event=manifest-refused source=store error={!r}", str(error))
+
+    def _backoff(self, failures: int) -> float:
+        shortest, longest = BACKOFF_S
+        limit = min(longest, shortest * 2 ** min(failures, 10))
+        return limit * (0.5 + 0.5 * self._rng.random())
+
+    def _on_change(self, change: MemberChange) -> None:
+        member = change.after
+        if member.role is Role.ENTRY and member.zone == self._me.zone:
+            self._changed.set()
+
+
+async def query_status(
+    link_or_keys: Link | KeyRing, addresses: list[Address], timeout_s: float
+) -> dict[Address, Status | None]:
+    """Ask members directly which generation they have in force.
+
+    :param link_or_keys: a link of the caller's own, or the key ring, for which a
+        link is opened and closed again.
+    :return: the answer by address, None for members that did not answer in time.
+    """
+    if not isinstance(link_or_keys, KeyRing):
+        return await _query(link_or_keys, addresses, timeout_s)
+    link = await UdpLink.open(Address("0.0.0.0", 0), link_or_keys)
+    try:
+        return await _query(link, addresses, timeout_s)
+    finally:
+        link.close()
+
+
+async def _query(
+    link: Link, addresses: list[Address], timeout_s: float
+) -> dict[Address, Status | None]:
+    answers: dict[Address, Status | None] = dict.fromkeys(addresses)
+    for tries_left in (2, 1):
+        missing = [a for a in addresses if answers[a] is None]
+        for address in missing:
+            link.send(encode(StatusRequest(addresses.index(address))), address)
+        try:
+            async with asyncio.timeout(timeout_s / 2):
+                while any(answer is None for answer in answers.values()):
+                    data, _ = await link.receive()
+                    message = decode_datagram(data)
+                    if isinstance(message, Status) and (
+                        message.number < len(addresses)
+                    ):
+                        answers[addresses[message.number]] = message
+        except (TimeoutError, PeerError):
+            if tries_left == 1:
+                break
+    return answers
+
+
+def _score(node_id: str) -> bytes:
+    return blake2b(node_id.encode(), digest_size=8).digest()
--- /dev/null
+++ b/src/cranberryhold/links.py
@@ -0,0 +1,261 @@
+"""Links: how control datagrams leave a process and arrive."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from typing import Protocol
+
+from cranberryhold.addresses import Address
+from cranberryhold.exceptions import PeerError, SealError
+from cranberryhold.keys import KeyRing
+from cranberryhold.messages import (
+    MAX_DATAGRAM_BYTES,
+    SEAL_BYTES,
+    ControlMessage,
+    decode_call,
+    encode_call,
+)
+
+IP_UDP_HEADER_BYTES = 28
+OVERHEAD_BYTES = SEAL_BYTES + IP_UDP_HEADER_BYTES
+
+_LABEL = b"gossip"
+_QUEUE_LIMIT = 4096
+"""Datagrams that wait for the receiving task; about a second of a flood."""
+
+
+class Link(Protocol):
+    """Sends datagrams to addresses and receives them; both may lose some."""
+
+    @property
+    def address(self) -> Address:
+        """Address at which this link receives."""
+
+    def send(self, data: bytes, to: Address) -> None:
+        """Send one datagram; errors of the network count as loss."""
+
+    async def receive(self) -> tuple[bytes, Address]:
+        """Wait for a datagram; return it with its sender."""
+
+
+class Calls(Protocol):
+    """Calls another member and waits for its answer."""
+
+    async def call(
+        self, address: Address, message: ControlMessage, timeout_s: float
+    ) -> ControlMessage:
+        """Send a message; return the answer.
+
+        :raises PeerError: if the peer can't be reached, fails, or is late.
+        """
+
+
+class UdpLink(asyncio.DatagramProtocol):
+    """A UDP socket whose datagrams are sealed with the deployment's key ring.
+
+    Datagrams that are malformed or sealed with another key are counted in
+    ``rejected`` and dropped.
+
+    >>> link = await UdpLink.open(address, keys)    # doctest: +SKIP
+    """
+
+    def __init__(self, keys: KeyRing) -> None:
+        self._keys = keys
+        self._queue: asyncio.Queue[tuple[bytes, Address]] = asyncio.Queue(_QUEUE_LIMIT)
+        self._transport: asyncio.DatagramTransport | None = None
+        self._address = Address("0.0.0.0", 0)
+        self.rejected = 0
+        self.overflowed = 0
+
+    @classmethod
+    async def open(cls, address: Address, keys: KeyRing) -> "UdpLink":
+        """Bind a socket; port 0 lets the operating system choose.
+
+        :raises PeerError: if the address can't be bound.
+        """
+        loop = asyncio.get_running_loop()
+        try:
+            _, link = await loop.create_datagram_endpoint(
+                lambda: cls(keys), local_addr=(address.ip, address.port)
+            )
+        except OSError as error:
+            raise PeerError(
+                f"cannot bind UDP: {error.strerror}; is the port in use?",
+                step="bind control address",
+                peer=str(address),
+            ) from error
+        return link
+
+    @property
+    def address(self) -> Address:
+        """Address at which this link receives."""
+        return self._address
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Note the bound address."""
+        self._transport = transport
+        self._address = Address(*transport.get_extra_info("sockname")[:2])
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        """Unseal a datagram and queue it."""
+        try:
+            opened = self._keys.unseal(_LABEL, data)
+        except SealError:
+            self.rejected += 1
+            return
+        try:
+            self._queue.put_nowait((opened, Address(*addr[:2])))
+        except asyncio.QueueFull:
+            self.overflowed += 1
+
+    def error_received(self, exc: Exception) -> None:
+        """Ignore an ICMP error: probing notices that a peer is gone."""
+
+    def send(self, data: bytes, to: Address) -> None:
+        """Seal and send one datagram."""
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.sendto(self._keys.seal(_LABEL, data), (to.ip, to.port))
+
+    async def receive(self) -> tuple[bytes, Address]:
+        """Wait for a datagram; return it opened, with its sender."""
+        return await self._queue.get()
+
+    def close(self) -> None:
+        """Close the socket."""
+        if self._transport is not None:
+            self._transport.close()
+
+
+Impairment = Callable[[Address, Address], float | None]
+"""Delay in seconds from one address to another, or None if the datagram is lost."""
+
+
+class MemoryNetwork:
+    """Links and calls between members that run in one process.
+
+    Tests, measurements and simulations use it in place of UDP and zmq. The
+    impairment decides the delay and the loss of each datagram; a cut stops all
+    traffic in one direction.
+
+    >>> network = MemoryNetwork(lambda source, target: 0.004)
+    """
+
+    def __init__(self, impairment: Impairment) -> None:
+        self.impairment = impairment
+        self.largest_bytes = 0
+        self._links: dict[Address, MemoryLink] = {}
+        self._cuts: list[Callable[[Address, Address], bool]] = []
+
+    def link(self, address: Address) -> "MemoryLink":
+        """Open a link; it replaces an earlier one of the same address."""
+        link = MemoryLink(self, address)
+        self._links[address] = link
+        return link
+
+    def close(self, address: Address) -> None:
+        """Close a link: what is sent to it is lost."""
+        self._links.pop(address, None)
+
+    def cut(self, matches: Callable[[Address, Address], bool]) -> Callable[[], None]:
+        """Stop traffic whose source and target match; return how to mend it."""
+        self._cuts.append(matches)
+        return lambda: self._cuts.remove(matches)
+
+    def delay(self, source: Address, target: Address) -> float | None:
+        """Return the delay of the next datagram, or None if it is lost."""
+        if target not in self._links or source not in self._links:
+            return None
+        if self._cuts and any(cut(source, target) for cut in self._cuts):
+            return None
+        return self.impairment(source, target)
+
+    def deliver(self, data: bytes, source: Address, target: Address) -> None:
+        """Hand a datagram to the link at its target, if it is still open."""
+        link = self._links.get(target)
+        if link is not None:
+            link.queue.put_nowait((data, source))
+
+    def peer(self, address: Address) -> "MemoryLink | None":
+        """Return the open link of an address, or None."""
+        return self._links.get(address)
+
+
+class MemoryLink:
+    """One member's link and calls in a :class:`MemoryNetwork`.
+
+    ``handlers`` answer calls by message type, as those of ``ControlServer`` do.
+    """
+
+    def __init__(self, network: MemoryNetwork, address: Address) -> None:
+        self._network = network
+        self._address = address
+        self.queue: asyncio.Queue[tuple[bytes, Address]] = asyncio.Queue()
+        self.handlers: dict[type[ControlMessage], Callable] = {}
+        self.datagrams = 0
+        self.sent_bytes = 0
+        self.call_bytes = 0
+
+    @property
+    def address(self) -> Address:
+        """Address at which this link receives."""
+        return self._address
+
+    def send(self, data: bytes, to: Address) -> None:
+        """Count a datagram and deliver it after its delay, unless it is lost."""
+        size = len(data) + SEAL_BYTES
+        if size > MAX_DATAGRAM_BYTES:
+            raise ValueError(f"datagram of {size} bytes")
+        self.datagrams += 1
+        self.sent_bytes += size + IP_UDP_HEADER_BYTES
+        delay = self._network.delay(self._address, to)
+        if delay is not None:
+            loop = asyncio.get_running_loop()
+            loop.call_later(delay, self._network.deliver, data, self._address, to)
+
+    async def receive(self) -> tuple[bytes, Address]:
+        """Wait for a datagram; return it with its sender."""
+        return await self.queue.get()
+
+    async def call(
+        self, address: Address, message: ControlMessage, timeout_s: float
+    ) -> ControlMessage:
+        """Call the handler of the link at ``address``.
+
+        A loss on the way costs a retransmission of 200 ms, as on TCP.
+        """
+        loop = asyncio.get_running_loop()
+        end = loop.time() + timeout_s
+        await self._carry(self._address, address, message, end)
+        peer = self._network.peer(address)
+        if peer is None or type(message) not in peer.handlers:
+            raise PeerError("no handler", step="call", peer=str(address))
+        answer = await peer.handlers[type(message)](message)
+        await peer._carry(address, self._address, answer, end)
+        return answer
+
+    async def _carry(
+        self, source: Address, target: Address, message: ControlMessage, end: float
+    ) -> None:
+        name, data = encode_call(message)
+        decode_call(name, data)
+        self.call_bytes += len(name) + len(data)
+        loop = asyncio.get_running_loop()
+        while (delay := self._network.delay(source, target)) is None:
+            if loop.time() + 0.2 > end:
+                await asyncio.sleep(max(0.0, end - loop.time()))
+                raise PeerError("no answer in time", step="call", peer=str(target))
+            await asyncio.sleep(0.2)
+        await asyncio.sleep(delay)
+
+
+def lossy(
+    rng: random.Random, loss: float, delay_s: float, jitter_s: float = 0.0
+) -> Impairment:
+    """Return an impairment with a constant loss rate and a delay with jitter."""
+
+    def impairment(source: Address, target: Address) -> float | None:
+        if loss and rng.random() < loss:
+            return None
+        return delay_s + jitter_s * rng.random()
+
+    return impairment
--- a/src/cranberryhold/members.py
+++ b/src/cranberryhold/members.py
@@ -1,7 +1,9 @@
 """Member records and the table of members that one process believes in."""
 
+from collections.abc import Iterator
 from dataclasses import dataclass, replace
 from enum import IntEnum
+from random import Random
 
 from reactivex import Observable
 from reactivex.subject import Subject
@@ -11,6 +13,23 @@
 FULL_WEIGHT = 100
 
 
+_INCARNATIONS = 1 << 32
+
+
+def incarnation_at(wall_s: float) -> int:
+    """Return the incarnation of a process that starts at this Unix time."""
+    return int(wall_s * 100) % _INCARNATIONS
+
+
+def incarnation_is_later(first: int, second: int) -> bool:
+    """Whether the first incarnation is later than the second.
+
+    Incarnations wrap around every 497 days, so they are compared as serial numbers
+    (RFC 1982): the shorter way round decides.
+    """
+    return 0 < (first - second) % _INCARNATIONS < _INCARNATIONS // 2
+
+
 class Role(IntEnum):
     """What a member does."""
 
@@ -68,11 +87,9 @@
 
     def supersedes(self, other: "Member") -> bool:
         """Whether this record is newer than another of the same node."""
-        return self._order > other._order
-
-    @property
-    def _order(self) -> tuple[int, int, int]:
-        return (self.incarnation, self.version, self.state)
+        if self.incarnation != other.incarnation:
+            return incarnation_is_later(self.incarnation, other.incarnation)
+        return (self.version, self.state) > (other.version, other.state)
 
     def with_state(self, state: MemberState) -> "Member":
         """Return a copy that is believed to be in another state."""
@@ -148,3 +165,57 @@
         if before is not None and before.service != member.service:
             self._by_service[before.service].pop(member.node_id, None)
         self._by_service.setdefault(member.service, {})[member.node_id] = member
+
+
+class Roster:
+    """Members that are not down, except oneself, for cheap random choices.
+
+    :param me: node id that is left out.
+    """
+
+    def __init__(self, table: MemberTable, me: str) -> None:
+        self._me = me
+        self._members: list[Member] = []
+        self._positions: dict[str, int] = {}
+        for member in table:
+            self._update(MemberChange(None, member))
+        table.changes.subscribe(self._update)
+
+    def __len__(self) -> int:
+        return len(self._members)
+
+    def __iter__(self) -> Iterator[Member]:
+        return iter(self._members)
+
+    def pick(self, rng: Random, count: int, excluding: str = "") -> list[Member]:
+        """Return up to ``count`` different members, chosen at random."""
+        spare = count + 1 if excluding else count
+        chosen = rng.sample(self._members, min(spare, len(self._members)))
+        return [m for m in chosen if m.node_id != excluding][:count]
+
+    def shuffled(self, rng: Random) -> list[Member]:
+        """Return all members in random order."""
+        return rng.sample(self._members, len(self._members))
+
+    def _update(self, change: MemberChange) -> None:
+        member = change.after
+        if member.node_id == self._me:
+            return
+        position = self._positions.get(member.node_id)
+        if member.state is MemberState.DOWN:
+            if position is not None:
+                self._remove(position)
+        elif position is None:
+            self._positions[member.node_id] = len(self._members)
+            self._members.append(member)
+        else:
+            self._members[position] = member
+
+    def _remove(self, position: int) -> None:
+        last = self._members.pop()
+        if position == len(self._members):
+            del self._positions[last.node_id]
+            return
+        del self._positions[self._members[position].node_id]
+        self._members[position] = last
+        self._positions[last.node_id] = position
--- /dev/null
+++ b/src/cranberryhold/node.py
@@ -0,0 +1,145 @@
+"""What every daemon runs: membership, manifest distribution and the control port."""
+
+from collections.abc import AsyncIterator
+from contextlib import AsyncExitStack, asynccontextmanager, contextmanager
+from dataclasses import dataclass
+from random import Random
+
+from loguru import logger
+
+from cranberryhold.addresses import Address
+from cranberryhold.clock import Clock, SystemClock
+from cranberryhold.control import ControlClient, ControlServer
+from cranberryhold.distribution import ManifestReader, ManifestSpread, ManifestState
+from cranberryhold.duties import performing
+from cranberryhold.links import UdpLink
+from cranberryhold.members import Member, MemberTable, Role, incarnation_at
+from cranberryhold.membership import Membership
+from cranberryhold.messages import ManifestRequest, RecordsRequest
+from cranberryhold.settings import NodeSettings
+from cranberryhold.store import Store
+
+
+@dataclass(frozen=True, slots=True)
+class Node:
+    """A running member.
+
+    :param manifests: the manifest in force.
+    :param control: server of calls; other modules register their handlers.
+    :param control_client: calls other members.
+    :param reader: watches the store; None without a store.
+    """
+
+    clock: Clock
+    membership: Membership
+    manifests: ManifestState
+    control: ControlServer
+    control_client: ControlClient
+    spread: ManifestSpread
+    reader: ManifestReader | None
+    link: UdpLink
+
+    @property
+    def members(self) -> MemberTable:
+        """What this process believes of the members."""
+        return self.membership.table
+
+    @property
+    def me(self) -> Member:
+        """The newest own record."""
+        return self.membership.me
+
+    def state(self) -> dict[str, object]:
+        """Return the state for the dump; all values can be written as JSON."""
+        reader = self.reader
+        return {
+            "membership": self.membership.state(),
+            "manifest": self.manifests.state()
+            | {
+                "pulls": self.spread.pulls,
+                "failed_pulls": self.spread.failed_pulls,
+                "reader": reader is not None and reader.elected,
+                "store_failures": reader.failures if reader else 0,
+            },
+            "control": {
+                "answered": self.control.answered,
+                "failed": self.control.failed,
+                "connections": self.control_client.connections,
+                "rejected_datagrams": self.link.rejected,
+                "overflowed_datagrams": self.link.overflowed,
+            },
+        }
+
+
+@asynccontextmanager
+async def running_node(
+    settings: NodeSettings,
+    role: Role,
+    *,
+    forward_address: Address,
+    service: str = "",
+    store: Store | None = None,
+    weight: int = 100,
+    rng: Random | None = None,
+) -> AsyncIterator[Node]:
+    """Run a member inside the context.
+
+    The own record names the address that was bound, so that the settings may leave
+    the choice of the port to the operating system.
+
+    :param forward_address: where forwarded packets arrive.
+    :param service: name of the service of a sidecar.
+    :param store: the platform's store; entry instances may become its readers.
+    :param weight: first weight, for a target that starts slowly.
+    :raises PeerError: if the control address can't be bound.
+    """
+    clock, rng = SystemClock(), rng or Random()
+    async with AsyncExitStack() as stack:
+        link = await UdpLink.open(settings.control_address, settings.keys)
+        stack.enter_context(_closing(link))
+        control = ControlServer(settings.keys, link.address)
+        stack.enter_context(control.serving())
+        client = await stack.enter_async_context(ControlClient(settings.keys))
+        me = Member(
+            settings.node_id,
+            role,
+            settings.zone,
+            settings.region,
+            link.address,
+            forward_address,
+            service,
+            weight,
+            incarnation_at(clock.wall()),
+        )
+        membership = Membership(
+            me, link, clock=clock, rng=rng, contacts=settings.contacts, calls=client
+        )
+        manifests = ManifestState(clock)
+        spread = ManifestSpread(manifests, membership, client)
+        control.register(RecordsRequest, membership.answer_records)
+        control.register(ManifestRequest, spread.answer_manifest)
+        reader = None
+        duties = [spread.run]
+        if store is not None:
+            reader = ManifestReader(
+                manifests, store, me, membership.table, clock=clock, rng=rng
+            )
+            duties.append(reader.run)
+        await stack.enter_async_context(membership.running())
+        await stack.enter_async_context(performing(clock, *duties))
+        logger.info("event=node-started node={} control={}", me.node_id, link.address)
+        yield Node(clock, membership, manifests, control, client, spread, reader, link)
+
+
+@contextmanager
+def _closing(link: UdpLink):
+    try:
+        yield
+    finally:
+        if link.rejected or link.overflowed:
+            logger.warning(
+                "event=datagrams-dropped rejected={} overflowed={}",
+                link.rejected,
+                link.overflowed,
+            )
+        link.close()
--- /dev/null
+++ b/tests/test_node.py
@@ -0,0 +1,108 @@
+"""A node over real sockets: joining, a manifest change and the control port."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import AsyncExitStack
+
+import pytest
+
+from cranberryhold.addresses import Address
+from cranberryhold.distribution import query_status
+from cranberryhold.exceptions import PeerError
+from cranberryhold.keys import KeyRing
+from cranberryhold.members import MemberState, Role
+from cranberryhold.messages import ControlMessage, RecordsRequest
+from cranberryhold.node import Node, running_node
+from cranberryhold.settings import NodeSettings
+from tools.clusters import accepted
+
+LOCAL = Address("127.0.0.1", 0)
+
+
+class Echo(ControlMessage):
+    text: str
+
+
+async def until(condition) -> None:
+    async with asyncio.timeout(10):
+        while not condition():  # noqa: ASYNC110 - spans several nodes
+            await asyncio.sleep(0.005)
+
+
+@pytest.fixture
+async def nodes() -> AsyncIterator[list[Node]]:
+    keys, started = KeyRing.generate(), []
+    async with AsyncExitStack() as stack:
+        for name in ("baneshwor-1", "lalitpur-1", "bhaktapur-1"):
+            contacts = tuple(n.me.control_address for n in started[:1])
+            settings = NodeSettings(name, name[:-2], "kathmandu", LOCAL, contacts, keys)
+            node = running_node(settings, Role.ENTRY, forward_address=LOCAL)
+            started.append(await stack.enter_async_context(node))
+        await until(lambda: all(len(n.members) == 3 for n in started))
+        yield started
+
+
+async def test_manifest_too_large_for_a_datagram_reaches_all_nodes(nodes) -> None:
+    nodes[1].manifests.adopt(accepted(1, *(f"service-{i}" for i in range(30))))
+    await until(lambda: all(n.manifests.generation == 1 for n in nodes))
+    nodes[2].manifests.adopt(accepted(2, *(f"service-{i}" for i in range(30))))
+    await until(lambda: all(n.manifests.generation == 2 for n in nodes))
+    assert len({n.manifests.digest for n in nodes}) == 1
+
+
+async def test_leaving_is_announced(nodes) -> None:
+    nodes[0].membership.announce(leaving=True)
+    await until(
+        lambda: all(
+            n.members.get("baneshwor-1").state is MemberState.LEAVING for n in nodes
+        )
+    )
+
+
+async def test_handler_registered_later_answers_and_its_fault_is_reported(
+    nodes,
+) -> None:
+    async def echo(message: Echo) -> Echo:
+        if not message.text:
+            raise PeerError("nothing to say", step="echo")
+        return message
+
+    nodes[0].control.register(Echo, echo)
+    client, address = nodes[1].control_client, nodes[0].me.control_address
+    assert await client.call(address, Echo(text="selam"), 2.0) == Echo(text="selam")
+    with pytest.raises(PeerError, match="nothing to say") as caught:
+        await client.call(address, Echo(text=""), 2.0)
+    assert caught.value.step == "remote handler"
+    assert caught.value.peer == str(address)
+
+
+async def test_holder_of_another_key_ring_is_refused(nodes) -> None:
+    stranger = NodeSettings(
+        "stranger",
+        "zone",
+        "region",
+        LOCAL,
+        (nodes[0].me.control_address,),
+        KeyRing.generate(),
+    )
+    async with running_node(stranger, Role.ENTRY, forward_address=LOCAL) as other:
+        with pytest.raises(PeerError, match="same key ring"):
+            await other.control_client.call(
+                nodes[0].me.control_address, RecordsRequest(buckets=[0]), 2.0
+            )
+        await until(lambda: nodes[0].link.rejected > 0)
+        assert len(other.members) == 1
+
+
+async def test_status_lists_members_that_do_not_answer() -> None:
+    keys = KeyRing.generate()
+    settings = NodeSettings("addis-a-1", "addis-a", "addis", LOCAL, (), keys)
+    async with running_node(settings, Role.ENTRY, forward_address=LOCAL) as node:
+        node.manifests.adopt(accepted(7))
+        node.manifests.note_store_reached(3.0)
+        here, gone = node.me.control_address, Address("127.0.0.1", 1)
+        found = await query_status(keys, [here, gone], 0.4)
+    assert found[gone] is None
+    assert found[here].node_id == "addis-a-1"
+    assert found[here].heartbeat.generation == 7
+    assert found[here].heartbeat.store_age_s == 3
--- /dev/null
+++ b/tools/clusters.py
@@ -0,0 +1,280 @@
+"""Members of a whole cluster in one process and in virtual time."""
+
+import asyncio
+from collections.abc import AsyncIterator, Callable, Coroutine
+from contextlib import AsyncExitStack, asynccontextmanager
+from random import Random
+from typing import Any
+
+import looptime
+
+from cranberryhold.addresses import Address
+from cranberryhold.clock import SystemClock
+from cranberryhold.distribution import (
+    MANIFEST_KEY,
+    ManifestReader,
+    ManifestSpread,
+    ManifestState,
+)
+from cranberryhold.duties import performing
+from cranberryhold.exceptions import StoreError
+from cranberryhold.links import MemoryLink, MemoryNetwork
+from cranberryhold.manifest import AcceptedManifest, Manifest, Service
+from cranberryhold.members import Member, Role
+from cranberryhold.membership import Membership
+from cranberryhold.messages import ManifestRequest, RecordsRequest
+from cranberryhold.store import Store, Versioned
+
+LOCAL_DELAY_S = 0.0005
+ZONE_DELAY_S = 0.004
+PORT = 7000
+
+
+def run_virtual(main: Coroutine[Any, Any, Any]) -> Any:
+    """Run a coroutine on an event loop in virtual time."""
+    loop = looptime.new_event_loop(start=0)
+    asyncio.set_event_loop(loop)
+    try:
+        return loop.run_until_complete(main)
+    finally:
+        loop.run_until_complete(loop.shutdown_asyncgens())
+        loop.close()
+        asyncio.set_event_loop(None)
+
+
+def zone_of(address: Address) -> int:
+    """Return the number of the zone that an address of a cluster lies in."""
+    return int(address.ip.split(".")[1])
+
+
+def accepted(generation: int, *services: str, port: int = 443) -> AcceptedManifest:
+    """Return a manifest with these services, each with one address."""
+    declared = tuple(
+        Service(name=name, addresses=(f"10.200.{i}.1:{port}",))
+        for i, name in enumerate(services or ("khata-core", "bill-intake"))
+    )
+    return AcceptedManifest(
+        generation=generation,
+        submission_id=f"submission-{generation}-{port}",
+        manifest=Manifest(services=declared),
+    )
+
+
+class MemoryStore:
+    """One key of the platform's store, with outages and slow answers."""
+
+    def __init__(self) -> None:
+        self.value: Versioned | None = None
+        self.down = False
+        self.delay_s = 0.005
+        self.calls = 0
+        self._changed = asyncio.Event()
+
+    def put(self, accepted: AcceptedManifest) -> None:
+        """Write a manifest, as an operator's ``apply`` or a restored backup does."""
+        revision = self.value.revision + 1 if self.value else 1
+        self.value = Versioned(accepted.model_dump_json().encode(), revision)
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def watch(
+        self, key: str, after_revision: int, timeout_s: float
+    ) -> Versioned | None:
+        """Wait until the revision differs."""
+        self.calls += 1
+        assert key == MANIFEST_KEY
+        await asyncio.sleep(self.delay_s)
+        if self.down:
+            raise StoreError("connection refused", step="watch")
+        if self.value is None or self.value.revision == after_revision:
+            try:
+                async with asyncio.timeout(timeout_s):
+                    await self._changed.wait()
+            except TimeoutError:
+                return None
+        if self.down:
+            raise StoreError("connection reset", step="watch")
+        return self.value
+
+
+class Instance:
+    """One member of a cluster, with what its daemon would run."""
+
+    def __init__(
+        self, cluster: "Cluster", me: Member, contacts: list[Address], store: Any
+    ) -> None:
+        self._cluster = cluster
+        self._stack = AsyncExitStack()
+        clock, rng = cluster.clock, Random(f"{cluster.seed} {me.node_id}")
+        self.link: MemoryLink = cluster.network.link(me.control_address)
+        self.membership = Membership(
+            me, self.link, clock=clock, rng=rng, contacts=contacts, calls=self.link
+        )
+        self.manifests = ManifestState(clock)
+        self.spread = ManifestSpread(self.manifests, self.membership, self.link)
+        self.reader: ManifestReader | None = None
+        self._duties = [self.spread.run]
+        if store is not None:
+            table = self.membership.table
+            self.reader = ManifestReader(
+                self.manifests, store, me, table, clock=clock, rng=rng
+            )
+            self._duties.append(self.reader.run)
+        self.link.handlers = {
+            RecordsRequest: self.membership.answer_records,
+            ManifestRequest: self.spread.answer_manifest,
+        }
+
+    @property
+    def node_id(self) -> str:
+        """Node id of the member."""
+        return self.membership.me.node_id
+
+    @property
+    def address(self) -> Address:
+        """Control address of the member."""
+        return self.membership.me.control_address
+
+    def view(self, *others: "Instance") -> dict[str, str]:
+        """Return the state that this member believes of others, or of all."""
+        table = self.membership.table
+        names = {o.node_id for o in others} or {m.node_id for m in table}
+        known = {n: table.get(n) for n in names}
+        return {n: m.state.name if m else "UNKNOWN" for n, m in known.items()}
+
+    async def start(self) -> None:
+        """Start all duties."""
+        await self._stack.enter_async_context(self.membership.running())
+        duties = performing(self._cluster.clock, *self._duties)
+        await self._stack.enter_async_context(duties)
+
+    async def kill(self) -> None:
+        """End at once, without a word to anyone."""
+        self._cluster.network.close(self.address)
+        await self.stop()
+
+    async def stop(self) -> None:
+        """End in an orderly way."""
+        await self._stack.aclose()
+        self._cluster.network.close(self.address)
+
+
+class Cluster:
+    """Instances in several zones over one simulated network.
+
+    :param loss: share of lost datagrams on every link.
+    :param zone_loss: share of lost datagrams on links between zones.
+    """
+
+    def __init__(
+        self,
+        seed: int,
+        *,
+        zones: int = 3,
+        loss: float = 0.0,
+        zone_loss: float = 0.0,
+        zone_jitter_s: float = 0.0,
+    ) -> None:
+        self.seed = seed
+        self.zones = zones
+        self.loss = loss
+        self.zone_loss = zone_loss
+        self.zone_jitter_s = zone_jitter_s
+        self.clock = SystemClock()
+        self.network = MemoryNetwork(self._impair)
+        self.instances: list[Instance] = []
+        self._rng = Random(seed)
+
+    def member(self, number: int, *, incarnation: int = 1000) -> Member:
+        """Return the first record of an instance; every fourth one is an entry."""
+        zone = number % self.zones
+        entry = number // self.zones % 4 == 0
+        address = Address(f"10.{zone}.{number >> 8}.{number & 255}", PORT)
+        return Member(
+            f"instance-{number:04}",
+            Role.ENTRY if entry else Role.SIDECAR,
+            f"zone-{zone}",
+            f"region-{zone % 2}",
+            address,
+            address,
+            "" if entry else "khata-core",
+            incarnation=incarnation,
+        )
+
+    async def start(
+        self,
+        number: int,
+        contacts: list[Address] = (),
+        *,
+        store: Store | None = None,
+        incarnation: int = 1000,
+        known: list[Member] = (),
+    ) -> Instance:
+        """Start one instance; ``known`` is what it believes from the start."""
+        me = self.member(number, incarnation=incarnation)
+        instance = Instance(self, me, list(contacts), store)
+        for member in known:
+            instance.membership.table.merge(member)
+        self.instances.append(instance)
+        await instance.start()
+        return instance
+
+    async def start_all(self, count: int, *, store: Store | None = None) -> None:
+        """Start instances that already know each other."""
+        known = [self.member(i) for i in range(count)]
+        for number in range(count):
+            await self.start(number, store=store, known=known)
+
+    @property
+    def sent_bytes(self) -> int:
+        """Bytes of datagrams and calls that all instances have sent."""
+        links = [i.link for i in self.instances]
+        return sum(link.sent_bytes + link.call_bytes for link in links)
+
+    async def until(
+        self, condition: Callable[[], bool], limit_s: float, step_s: float = 0.02
+    ) -> float:
+        """Wait for a condition; return the seconds that it took.
+
+        :raises TimeoutError: if it does not hold within ``limit_s``.
+        """
+        started = self.clock.monotonic()
+        while not condition():
+            if self.clock.monotonic() - started > limit_s:
+                raise TimeoutError(f"condition does not hold after {limit_s} s")
+            await asyncio.sleep(step_s)
+        return self.clock.monotonic() - started
+
+    def cut_between(self, first: set[int], second: set[int]) -> Callable[[], None]:
+        """Cut two groups of zones off from each other; return how to mend it."""
+
+        def matches(source: Address, target: Address) -> bool:
+            ends = zone_of(source), zone_of(target)
+            return (ends[0] in first and ends[1] in second) or (
+                ends[0] in second and ends[1] in first
+            )
+
+        return self.network.cut(matches)
+
+    def _impair(self, source: Address, target: Address) -> float | None:
+        rng = self._rng
+        local = zone_of(source) == zone_of(target)
+        loss = self.loss if local else max(self.loss, self.zone_loss)
+        if loss and rng.random() < loss:
+            return None
+        if local:
+            return LOCAL_DELAY_S * (1 + rng.random())
+        return ZONE_DELAY_S * (1 + 0.2 * rng.random()) + (
+            self.zone_jitter_s * rng.random()
+        )
+
+
+@asynccontextmanager
+async def running_cluster(seed: int, **options: Any) -> AsyncIterator[Cluster]:
+    """Provide a cluster and end its instances afterwards."""
+    cluster = Cluster(seed, **options)
+    try:
+        yield cluster
+    finally:
+        for instance in cluster.instances:
+            await instance.kill()
