--- a/src/cranberryhold/pipeline.py
+++ b/src/cranberryhold/pipeline.py
@@ -106,6 +106,10 @@
         if self._drain_grace_end is None:
             self._drain_grace_end = self._clock.monotonic() + grace_s
 
+    def end_drain(self) -> None:
+        """Take new requests again, after a drain that was called off."""
+        self._drain_grace_end = None
+
     async def wait_idle(self) -> None:
         """Wait until no request is queued or running here."""
         while self._present or self._runs.running:
