Add a benchmark of the data path

Cause: the work per packet is a requirement (no growth with targets, services or flows) and had not been measured. Change: tools.bench runs an entry instance, an asyncio datagram forwarder and a forwarder that reads batches side by side as separate processes, and times routing decisions by number of targets and services.

--- /dev/null
+++ b/tools/bench.py
@@ -0,0 +1,161 @@
+"""Benchmark of the data path: packets a second and routing cost per packet.
+
+The entry instance and two forwarders that only copy packets run at the same time
+as separate processes, each with its own source and sink, so that they meet the
+same conditions of the machine.
+"""
+
+import argparse
+import statistics
+import subprocess
+import sys
+import time
+from collections.abc import Callable
+from contextlib import ExitStack
+
+from cranberryhold.addresses import Address
+from cranberryhold.members import Member, MemberTable, Role
+from cranberryhold.routing import Router
+from cranberryhold.targets import TargetTables
+from tools.bench_parts import KEYS, SERVICE, flow_packet
+from tools.tables import Table
+
+TARGET_RATIO = 0.7
+_PORT = 21000
+_START_LIMIT_S = 30.0
+_FORWARDERS = ("entry", "plain", "batched")
+
+
+def _start(stack: ExitStack, part: str, **options: object) -> subprocess.Popen:
+    arguments = [f"--{name}={value}" for name, value in options.items()]
+    process = subprocess.Popen(
+        [sys.executable, "-m", "tools.bench_parts", part, *arguments],
+        stdout=subprocess.PIPE,
+        text=True,
+    )
+    stack.callback(process.wait)
+    stack.callback(process.terminate)
+    return process
+
+
+def rates(direction: str, seconds: float) -> dict[str, float]:
+    """Return packets a second through each forwarder, all run at the same time."""
+    sinks = {}
+    with ExitStack() as stack:
+        for number, part in enumerate(_FORWARDERS):
+            port = _PORT + 10 * number
+            listen, sink = Address("127.0.0.1", port), Address("127.0.1.1", port + 5)
+            sinks[part] = _start(stack, "sink", port=sink.port, seconds=seconds)
+            extra = {"port": sink.port} if part == "entry" else {"to": sink}
+            _start(stack, part, listen=listen, **extra)
+            # Replies go to the forward address, which has the next port.
+            replies_to_entry = part == "entry" and direction == "reply"
+            to = Address(listen.ip, port + 1) if replies_to_entry else listen
+            _start(stack, "source", direction=direction, to=to, port=sink.port)
+        return {
+            part: float(sink.communicate(timeout=seconds + _START_LIMIT_S)[0])
+            for part, sink in sinks.items()
+        }
+
+
+def throughput(rounds: int, seconds: float) -> Table:
+    """Return packets a second through the entry instance and the forwarders."""
+    table = Table(
+        f"Packets a second, 200-byte packets, medians of {rounds} runs side by side",
+        (
+            "packets",
+            "entry",
+            "plain asyncio",
+            "batched",
+            "entry/plain",
+            "entry/batched",
+        ),
+    )
+    for direction in ("request", "reply"):
+        runs = [rates(direction, seconds) for _ in range(rounds)]
+
+        def median(value: Callable[[dict[str, float]], float], runs=runs) -> float:
+            return statistics.median(value(run) for run in runs)
+
+        table.add(
+            direction,
+            *(round(median(lambda run, p=part: run[p])) for part in _FORWARDERS),
+            median(lambda run: run["entry"] / run["plain"]),
+            median(lambda run: run["entry"] / run["batched"]),
+        )
+    return table
+
+
+def routing_cost() -> Table:
+    """Return the time per routing decision by number of targets and services."""
+    table = Table(
+        "Routing cost per packet, microseconds (fastest of 5 runs)",
+        ("targets", "services", "short header", "first packet", "table rebuild ms"),
+    )
+    for targets, services in ((10, 1), (1000, 1), (6500, 1), (1000, 650), (6500, 650)):
+        table.add(targets, services, *_costs(targets, services))
+    return table
+
+
+def _costs(targets: int, services: int) -> tuple[float, float, float]:
+    names = [SERVICE, *(f"s{number}" for number in range(1, services))]
+    members = MemberTable()
+    for number in range(targets):
+        where = Address(f"10.{number >> 16}.{number >> 8 & 255}.{number & 255}", 443)
+        name = names[number % services]
+        members.merge(Member(f"t{number}", Role.SIDECAR, "z", "r", where, where, name))
+    tables = TargetTables(members, _PlainClock())
+    tables.track(names)
+    tables.refresh()
+    router, service = Router(KEYS, tables), tables[SERVICE]
+    flows = [flow_packet(Address("10.0.0.1", 443), n) for n in range(1000)]
+    firsts = [
+        (b"\xc0\x00\x00\x00\x01\x08" + n.to_bytes(8, "big")).ljust(1200, b"\0")
+        for n in range(1000)
+    ]
+    return (
+        _fastest(lambda: [router.route(service, p) for p in flows]) / len(flows) * 1e6,
+        _fastest(lambda: [router.route(service, p) for p in firsts])
+        / len(firsts)
+        * 1e6,
+        _fastest(lambda: service.rebuild(members, 0.0)) * 1e3,
+    )
+
+
+class _PlainClock:
+    def monotonic(self) -> float:
+        return time.monotonic()
+
+    def wall(self) -> float:
+        return time.time()
+
+    async def sleep(self, seconds: float) -> None:
+        raise NotImplementedError
+
+
+def _fastest(work: Callable[[], object]) -> float:
+    durations = []
+    for _ in range(5):
+        started = time.perf_counter()
+        work()
+        durations.append(time.perf_counter() - started)
+    return min(durations)
+
+
+def main() -> None:
+    """Print the tables; the exit code is 1 if the ratio is below the target."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--rounds", type=int, default=3)
+    parser.add_argument("--seconds", type=float, default=3.0)
+    options = parser.parse_args()
+    print(routing_cost(), end="\n\n", flush=True)
+    table = throughput(options.rounds, options.seconds)
+    print(table, end="\n\n")
+    ratios = [row[4] for row in table.rows]
+    met = min(ratios) >= TARGET_RATIO
+    print(f"entry/plain at least {TARGET_RATIO}: {'yes' if met else 'no'}")
+    sys.exit(0 if met else 1)
+
+
+if __name__ == "__main__":
+    main()
