--- a/src/cranberryhold/placement.py
+++ b/src/cranberryhold/placement.py
@@ -52,6 +52,10 @@
         """Number of slots."""
         return self._size
 
+    def slots(self) -> tuple[bytes, ...]:
+        """Return the target of each slot."""
+        return tuple(self._slots)
+
     def choice(self, key: bytes) -> bytes | None:
         """Return the target of a key, or None if the table is empty."""
         if not self._slots:
--- /dev/null
+++ b/tests/test_guard.py
@@ -0,0 +1,102 @@
+"""Guard against mass reports of failure: a misled observer must not empty a service."""
+
+import pytest
+
+from cranberryhold.members import Member, MemberChange, MemberState
+from cranberryhold.targets import DownGuard
+from tests.routes import target
+
+DOWN, LEAVING, ALIVE = MemberState.DOWN, MemberState.LEAVING, MemberState.ALIVE
+
+
+class Observer:
+    """A guard and the members that it is told of."""
+
+    def __init__(self, count: int) -> None:
+        self.guard = DownGuard()
+        self.members = {
+            f"t{n}": target(f"t{n}", f"10.0.0.{n + 1}:443") for n in range(count)
+        }
+
+    def turn(self, state: MemberState, *numbers: int, at: float) -> None:
+        for number in numbers:
+            before = self.members[f"t{number}"]
+            after = before.with_state(state)
+            self.members[f"t{number}"] = after
+            self.guard.note(MemberChange(before, after), at)
+
+    def kept(self, at: float) -> set[int]:
+        kept: list[Member] = self.guard.keep(self.members.values(), at)
+        return {int(m.node_id[1:]) for m in kept}
+
+
+@pytest.mark.parametrize(
+    ("count", "down", "kept"),
+    [
+        (7, 3, {3, 4, 5, 6}),
+        (7, 4, {0, 1, 2, 3, 4, 5, 6}),
+        (2, 1, {1}),
+        (3, 2, {0, 1, 2}),
+        (1, 1, {0}),
+        (7, 7, {0, 1, 2, 3, 4, 5, 6}),
+    ],
+)
+def test_only_more_than_half_at_once_is_held(
+    count: int, down: int, kept: set[int]
+) -> None:
+    observer = Observer(count)
+    observer.turn(DOWN, *range(down), at=100.0)
+    assert observer.kept(at=100.1) == kept
+
+
+def test_targets_dropped_early_in_a_burst_come_back() -> None:
+    observer = Observer(7)
+    observer.turn(DOWN, 0, 1, at=100.0)
+    assert observer.kept(at=100.0) == {2, 3, 4, 5, 6}
+    observer.turn(DOWN, 2, 3, at=109.9)
+    assert observer.kept(at=109.9) == set(range(7))
+
+
+def test_failures_spread_over_time_are_dropped_one_by_one() -> None:
+    observer = Observer(7)
+    for number in range(5):
+        observer.turn(DOWN, number, at=100.0 + 11 * number)
+        observer.kept(at=100.0 + 11 * number)
+    assert observer.kept(at=144.0) == {5, 6}
+
+
+def test_held_targets_stay_until_most_of_the_service_is_up_again() -> None:
+    observer = Observer(7)
+    observer.turn(DOWN, 0, 1, 2, 3, at=100.0)
+    assert observer.kept(at=100.0) == set(range(7))
+    assert observer.kept(at=5000.0) == set(range(7))
+    assert observer.guard.held == {"t0", "t1", "t2", "t3"}
+    observer.turn(ALIVE, 0, at=5001.0)
+    assert observer.kept(at=5001.0) == {0, 4, 5, 6}
+
+
+def test_leaving_and_weightless_targets_are_never_kept() -> None:
+    observer = Observer(4)
+    observer.turn(LEAVING, 0, 1, at=99.0)
+    observer.turn(DOWN, 0, 2, 3, at=100.0)
+    assert observer.kept(at=100.0) == {2, 3}
+    drained = target("t2", "10.0.0.3:443", weight=0)
+    observer.members["t2"] = drained.with_state(DOWN)
+    assert observer.kept(at=100.0) == {3}
+
+
+def test_old_failures_that_a_new_observer_hears_of_are_no_burst() -> None:
+    observer = Observer(5)
+    for number in range(3):
+        after = observer.members[f"t{number}"].with_state(DOWN)
+        observer.members[f"t{number}"] = after
+        observer.guard.note(MemberChange(None, after), 100.0)
+    assert observer.kept(at=100.0) == {3, 4}
+
+
+def test_when_nothing_is_left_the_targets_believed_down_are_kept() -> None:
+    observer = Observer(3)
+    for number in range(3):
+        observer.turn(DOWN, number, at=100.0 + 20 * number)
+        observer.kept(at=100.0 + 20 * number)
+    assert observer.kept(at=140.0) == {0, 1, 2}
