--- a/src/cranberryhold/manifest.py
+++ b/src/cranberryhold/manifest.py
@@ -29,7 +29,8 @@
 
 
 class _Model(BaseModel):
-    model_config = ConfigDict(extra="forbid", frozen=True)
+    # JSON has no infinity: it would be stored as null, which no process can read.
+    model_config = ConfigDict(extra="forbid", frozen=True, allow_inf_nan=False)
 
 
 class ClassKind(StrEnum):
--- a/src/cranberryhold/manifest_text.py
+++ b/src/cranberryhold/manifest_text.py
@@ -32,7 +32,7 @@
     try:
         return Ok(Manifest.model_validate({} if data is None else data))
     except ValidationError as error:
-        return Error([_explain(details, root) for details in error.errors()])
+        return Error([_explain(d, root) for d in error.errors() if not _is_spurious(d)])
 
 
 def manifest_schema() -> dict[str, object]:
@@ -63,11 +63,21 @@
         message = "unknown key: remove it or correct its spelling"
     elif details["type"] == "missing":
         message = "this key is required: add it"
+    elif details["type"] == "model_type":
+        message = f"write a mapping of keys (found {details['input']!r:.80})"
     elif not relative:
         message = f"{message} (found {details['input']!r:.80})"
     return ManifestError(message, line=_line(root, path), key=_dotted(path))
 
 
+def _is_spurious(details: ErrorDetails) -> bool:
+    """Whether a list is called too short only because its items were refused."""
+    return (
+        details["type"] == "too_short"
+        and len(details["input"]) >= details["ctx"]["min_length"]
+    )
+
+
 def _dotted(path: _Path) -> str:
     return ".".join(str(part) for part in path)
 
