Add the caller library

Users of the service need requests that are repeated only where no request can run twice, and feeds that survive a planned change without a gap.

aioquic 1.7.2 skips the payload of GOAWAY before it reaches any method that could be overridden, so the adapter reads the control stream's data events itself; a test fails if the library starts to handle the frame.

A refused repetition does not turn an earlier unknown outcome into "not run": the first attempt may have run. An upload waits while 512 KiB are unacknowledged, because aioquic buffers without a limit.

--- a/src/cranberryhold/exceptions.py
+++ b/src/cranberryhold/exceptions.py
@@ -82,3 +82,20 @@
 
 class OutcomeUnknownError(CranberryholdError):
     """A request was lost after it may have started to run."""
+
+
+class KeyRequiredError(NotRunError):
+    """A request needs an idempotency key and did not run without one.
+
+    :param key: a fresh key to store with the item and to use for all attempts.
+    """
+
+    def __init__(
+        self, message: str, *, key: str, step: str = "", peer: str = ""
+    ) -> None:
+        super().__init__(message, step=step, peer=peer)
+        self.key = key
+
+
+class FeedRefusedError(CranberryholdError):
+    """A feed answered with an error status, which trying again won't change."""
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,6 +1,15 @@
 """Shared test settings: derandomized properties, so that each run has one verdict."""
 
+import pytest
 from hypothesis import settings
 
+from emulator.certificates import CertificateFiles, write_certificate
+
 settings.register_profile("fixed", derandomize=True, deadline=None, max_examples=100)
 settings.load_profile("fixed")
+
+
+@pytest.fixture(scope="session")
+def files(tmp_path_factory) -> CertificateFiles:
+    """Certificate and key of a service on loopback."""
+    return write_certificate(tmp_path_factory.mktemp("certificate"))
--- /dev/null
+++ b/tests/test_h3_client.py
@@ -0,0 +1,157 @@
+"""The adapter to the QUIC library: fails when a new version moves what it uses."""
+
+import asyncio
+
+import pytest
+from aioquic.buffer import encode_uint_var
+from aioquic.h3.connection import (
+    ErrorCode,
+    FrameType,
+    H3Connection,
+    StreamType,
+    encode_frame,
+)
+from aioquic.quic.configuration import QuicConfiguration
+from aioquic.quic.connection import QuicConnection
+from aioquic.quic.events import StreamDataReceived
+
+from cranberryhold.addresses import Address
+from cranberryhold.exceptions import NotRunError, OutcomeUnknownError
+from cranberryhold.exchange import Request, bytes_body
+from cranberryhold.h3_client import (
+    SEND_BUFFER_BYTES,
+    GoawayH3Connection,
+    client_configuration,
+    connected,
+)
+from tests.h3_service import h3_service
+from tests.waiting import until
+
+
+def open_to(service, files):
+    peer = Address.parse(service.url.removeprefix("https://"))
+    return connected(peer, client_configuration("127.0.0.1", str(files.certificate)))
+
+
+async def never(incoming):
+    await asyncio.Event().wait()
+
+
+@pytest.mark.parametrize("piece", [1, 3, 1000])
+def test_the_library_still_drops_goaway_and_the_adapter_keeps_the_lowest_id(piece):
+    quic = QuicConnection(configuration=QuicConfiguration(is_client=True))
+    stock, adapted = H3Connection(quic), GoawayH3Connection(quic)
+    frames = [
+        encode_frame(FrameType.SETTINGS, b""),
+        encode_frame(FrameType.GOAWAY, encode_uint_var(1200)),
+        encode_frame(0x21, bytes(300)),
+        encode_frame(FrameType.GOAWAY, encode_uint_var(800)),
+        encode_frame(FrameType.GOAWAY, encode_uint_var(1600)),
+    ]
+    data = encode_uint_var(StreamType.CONTROL) + b"".join(frames)
+    for start in range(0, len(data), piece):
+        event = StreamDataReceived(data[start : start + piece], False, 3)
+        assert not stock.handle_event(event)
+        assert not adapted.handle_event(event)
+    assert adapted.goaway_id == 800
+    assert not any("goaway" in name.lower() for name in vars(stock))
+
+
+def test_other_streams_are_not_read_as_the_control_stream():
+    quic = QuicConnection(configuration=QuicConfiguration(is_client=True))
+    adapted = GoawayH3Connection(quic)
+    frame = encode_frame(FrameType.GOAWAY, encode_uint_var(4))
+    data = encode_uint_var(StreamType.QPACK_DECODER) + frame
+    adapted.handle_event(StreamDataReceived(data, False, 7))
+    assert adapted.goaway_id is None
+
+
+async def test_goaway_refuses_later_streams_and_lets_earlier_ones_finish(files):
+    async with h3_service(files, never) as service, open_to(service, files) as c:
+        first = asyncio.create_task(read(c, "/first"))
+        await until(lambda: len(service.requests) == 1)
+        second = asyncio.create_task(read(c, "/second"))
+        await until(lambda: len(service.requests) == 2)
+        service.connections[0].go_away(service.requests[1].stream_id)
+        with pytest.raises(NotRunError):
+            await second
+        with pytest.raises(NotRunError):
+            await read(c, "/third")
+        service.requests[0].answer(200, b"whole")
+        assert await first == b"whole"
+        await c.finished()
+
+
+async def test_a_body_waits_for_acknowledgements(files):
+    """Without the wait, an upload of any size would be held in memory at once."""
+    taken = 0
+
+    async def endless():
+        nonlocal taken
+        while True:
+            taken += 64 * 1024
+            yield bytes(64 * 1024)
+
+    async with h3_service(files, never) as service, open_to(service, files) as c:
+        request = Request("POST", "/", (), endless())
+        sending = asyncio.create_task(exchange(c, request))
+        # The fake service grants 1 MiB of credit at the start.
+        await until(lambda: taken > 2 * SEND_BUFFER_BYTES)
+        state = c._quic._streams[0].sender
+        assert len(state._buffer) < SEND_BUFFER_BYTES + 128 * 1024
+        sending.cancel()
+        await until(lambda: service.requests[0].cancel_code is not None)
+        assert service.requests[0].cancel_code == ErrorCode.H3_REQUEST_CANCELLED
+
+
+@pytest.mark.parametrize(
+    ("code", "expected"),
+    [
+        (ErrorCode.H3_REQUEST_REJECTED, NotRunError),
+        (ErrorCode.H3_INTERNAL_ERROR, OutcomeUnknownError),
+    ],
+)
+async def test_a_reset_says_whether_the_request_ran(files, code, expected):
+    async def reset(incoming):
+        incoming.reset(code)
+
+    async with h3_service(files, reset) as service, open_to(service, files) as c:
+        with pytest.raises(expected):
+            await read(c, "/")
+
+
+async def test_an_error_of_the_body_reaches_the_caller(files):
+    async def broken():
+        yield b"part"
+        raise OSError("the disk is gone")
+
+    async with h3_service(files, never) as service, open_to(service, files) as c:
+        with pytest.raises(OSError, match="the disk is gone"):
+            await exchange(c, Request("POST", "/", (), broken()))
+
+
+async def test_an_unknown_authority_is_refused(files):
+    async with h3_service(files, never) as service:
+        peer = Address.parse(service.url.removeprefix("https://"))
+        with pytest.raises(NotRunError, match="refused"):
+            async with connected(peer, client_configuration("127.0.0.1")):
+                pass
+
+
+async def test_a_body_arrives_whole(files):
+    async def echo(incoming):
+        await incoming.ended.wait()
+        incoming.answer(200, incoming.body)
+
+    data = bytes(range(256)) * 1024
+    async with h3_service(files, echo) as service, open_to(service, files) as c:
+        assert await exchange(c, Request("POST", "/", (), bytes_body(data))) == data
+
+
+async def read(connection, path):
+    return await exchange(connection, Request("GET", path))
+
+
+async def exchange(connection, request):
+    async with connection.exchange(request, "test") as response:
+        return b"".join([chunk async for chunk in response.body])
