--- a/src/cranberryhold/exceptions.py
+++ b/src/cranberryhold/exceptions.py
@@ -99,3 +99,11 @@
 
 class FeedRefusedError(CranberryholdError):
     """A feed answered with an error status, which trying again won't change."""
+
+
+class DeadlinePassedError(OutcomeUnknownError):
+    """The deadline of a request passed after it may have started to run."""
+
+
+class BodyTooLargeError(OutcomeUnknownError):
+    """A body exceeded its limit after the request may have started to run."""
