Prove flows, leaving and separation of services by scripted scenarios

Cause: nothing brought about the failures that the data path is meant for. Change: scenarios in virtual time over the product's routers, sidecars and pipelines, with aioquic's stock client.

--- a/src/cranberryhold/gateway.py
+++ b/src/cranberryhold/gateway.py
@@ -1,7 +1,7 @@
 """HTTP/3 at the sidecar: one task per connection, one per request."""
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass, field
 
 from aioquic.asyncio.protocol import QuicConnectionProtocol
@@ -17,9 +17,16 @@
 from loguru import logger
 
 from cranberryhold.exchange import Handler, Headers, Outcome, Request, Response, refusal
-from cranberryhold.quic import MAX_VARINT_STREAM_ID, send_goaway, unsent_bytes
+from cranberryhold.quic import (
+    MAX_VARINT_STREAM_ID,
+    is_acknowledged,
+    send_goaway,
+    unsent_bytes,
+)
 
 SEND_BUFFER_BYTES = 256 * 1024
+# Request streams of a caller are 0, 4, 8 and so on (RFC 9000, section 2.1).
+STREAM_ID_STEP = 4
 _CONNECTION_HEADERS = frozenset(
     {"connection", "keep-alive", "proxy-connection", "transfer-encoding", "upgrade"}
 )
@@ -53,6 +60,30 @@
             self.chunks.put_nowait(None)
 
 
+@dataclass(slots=True)
+class _StartedStreams:
+    """Which request streams have been seen; they may arrive in any order.
+
+    All below ``floor`` have; those above it are in ``above``, so that memory stays
+    small however long the connection lasts.
+    """
+
+    floor: int = 0
+    above: set[int] = field(default_factory=set)
+    next_id: int = 0
+
+    def add(self, stream_id: int) -> bool:
+        """Note a stream; return False if it was seen before."""
+        if stream_id < self.floor or stream_id in self.above:
+            return False
+        self.above.add(stream_id)
+        self.next_id = max(self.next_id, stream_id + STREAM_ID_STEP)
+        while self.floor in self.above:
+            self.above.remove(self.floor)
+            self.floor += STREAM_ID_STEP
+        return True
+
+
 class Gateway(QuicConnectionProtocol):
     """One HTTP/3 connection of a caller.
 
@@ -61,16 +92,23 @@
 
     :param quic: the connection.
     :param handler: answers requests.
+    :param on_idle: told whenever no request is in progress any more.
     """
 
-    def __init__(self, quic: QuicConnection, handler: Handler) -> None:
+    def __init__(
+        self,
+        quic: QuicConnection,
+        handler: Handler,
+        on_idle: Callable[["Gateway"], None] = lambda _: None,
+    ) -> None:
         super().__init__(quic)
         self._handler = handler
+        self._on_idle = on_idle
         self._h3 = H3Connection(quic)
         self._events: asyncio.Queue[QuicEvent] = asyncio.Queue()
         self._streams: dict[int, _Stream] = {}
         self._progress = asyncio.Event()
-        self._next_stream_id = 0
+        self._started = _StartedStreams()
         self._refuse_from = MAX_VARINT_STREAM_ID
         self._task = asyncio.ensure_future(self._serve_connection())
 
@@ -91,7 +129,7 @@
 
     def refuse_new_requests(self) -> None:
         """Refuse all requests that have not arrived yet, as not run."""
-        self._refuse_from = self._next_stream_id
+        self._refuse_from = self._started.next_id
         self._goaway(self._refuse_from)
 
     def close_if_idle(self) -> bool:
@@ -137,12 +175,11 @@
                 stream.receive(data, event.stream_ended)
 
     def _start(self, event: HeadersReceived) -> None:
-        if event.stream_id < self._next_stream_id:
+        if not self._started.add(event.stream_id):
             return  # Trailers of a request that has been answered already.
         if event.stream_id >= self._refuse_from:
             self._reject(event.stream_id)
             return
-        self._next_stream_id = event.stream_id + 4
         stream = _Stream(event.stream_id)
         stream.receive(b"", event.stream_ended)
         self._streams[event.stream_id] = stream
@@ -171,7 +208,10 @@
             logger.opt(exception=True).error("request_failed peer={}", self.peer)
             await self._fail(stream)
         finally:
+            await self._wait_acknowledged(stream.stream_id)
             self._streams.pop(stream.stream_id, None)
+            if not self._streams:
+                self._on_idle(self)
 
     async def _fail(self, stream: _Stream) -> None:
         if stream.answered:
@@ -204,6 +244,15 @@
             self._progress.clear()
             await self._progress.wait()
 
+    async def _wait_acknowledged(self, stream_id: int) -> None:
+        """Wait until the caller has the whole answer.
+
+        Until then the connection is not idle: closing it would cut the answer.
+        """
+        while not (self._closed.is_set() or is_acknowledged(self._quic, stream_id)):
+            self._progress.clear()
+            await self._progress.wait()
+
     def _reset(self, stream: _Stream, code: int) -> None:
         if not self._closed.is_set():
             self._quic.reset_stream(stream.stream_id, code)
--- a/src/cranberryhold/quic.py
+++ b/src/cranberryhold/quic.py
@@ -84,6 +84,7 @@
         id length is set to 20.
     :param send: sends a packet back towards a caller.
     :param create_protocol: makes the protocol object of a new connection.
+    :param on_closed: told after a connection has ended.
     """
 
     def __init__(
@@ -94,7 +95,9 @@
         configuration: QuicConfiguration,
         send: SendPacket,
         create_protocol: CreateProtocol,
+        on_closed: Callable[[], None] = lambda: None,
     ) -> None:
+        self._on_closed = on_closed
         self._target = target
         self._codec = codec
         configuration.connection_id_length = CONNECTION_ID_BYTES
@@ -185,6 +188,7 @@
         self._connections.discard(protocol)
         for connection_id in [i for i, p in self._by_id.items() if p is protocol]:
             del self._by_id[connection_id]
+        self._on_closed()
 
 
 class _SendOnlyTransport:
@@ -214,3 +218,9 @@
     """Return the bytes of a stream that the peer has not acknowledged yet."""
     stream = quic._streams.get(stream_id)
     return len(stream.sender._buffer) if stream is not None else 0
+
+
+def is_acknowledged(quic: QuicConnection, stream_id: int) -> bool:
+    """Whether the peer has acknowledged the end or the reset of a stream."""
+    stream = quic._streams.get(stream_id)
+    return stream is None or stream.sender.is_finished
--- a/src/cranberryhold/sidecar.py
+++ b/src/cranberryhold/sidecar.py
@@ -5,7 +5,7 @@
 import random
 from collections import Counter
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 
 from aioquic.h3.connection import H3_ALPN
 from aioquic.quic.configuration import QuicConfiguration
@@ -29,9 +29,9 @@
 from cranberryhold.return_paths import ReturnPaths
 
 IDLE_TIMEOUT_S = 60.0
-# A connection whose last request has ended gets this long to close by itself
-# before a draining sidecar closes it.
-DRAIN_POLL_S = 0.1
+# Idle connections stay open this long after GOAWAY, so that a caller that ignored
+# it is told "not run" and does not lose a request with its connection.
+GOAWAY_LINGER_S = 10.0
 
 
 class Sidecar(asyncio.DatagramProtocol):
@@ -71,6 +71,8 @@
         self._service_addresses: frozenset[Address] = frozenset()
         self._connection_limit = 0
         self._draining = False
+        self._close_when_idle = False
+        self._all_closed = asyncio.Event()
         self._transport: asyncio.DatagramTransport | None = None
         self._counts: Counter[str] = Counter()
         self._server = SidecarQuicServer(
@@ -79,6 +81,7 @@
             configuration=configuration,
             send=self._send,
             create_protocol=self._create_gateway,
+            on_closed=self._note_closed,
         )
 
     @property
@@ -122,22 +125,23 @@
 
         :return: the number of requests that were cut when ``limit_s`` was over.
         """
-        deadline = asyncio.get_running_loop().time() + limit_s
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + limit_s
         self._draining = True
         for gateway in self._gateways:
             gateway.announce_shutdown()
         await asyncio.sleep(min(grace_s, limit_s))
         for gateway in self._gateways:
             gateway.refuse_new_requests()
-        while asyncio.get_running_loop().time() < deadline:
-            if all(gateway.close_if_idle() for gateway in self._gateways):
-                return 0
-            await asyncio.sleep(DRAIN_POLL_S)
+        await self._wait_closed(min(deadline, loop.time() + GOAWAY_LINGER_S))
+        self._close_when_idle = True
+        self._close_idle()
+        await self._wait_closed(deadline)
         return self.running
 
     def resume(self) -> None:
         """Take new connections again after a drain that was called off."""
-        self._draining = False
+        self._draining = self._close_when_idle = False
 
     def state(self) -> dict[str, object]:
         """Return a summary for the state dump."""
@@ -180,7 +184,27 @@
         return list(self._server.connections)  # type: ignore[arg-type]
 
     def _create_gateway(self, connection: QuicConnection) -> Gateway:
-        return Gateway(connection, self._handler)
+        return Gateway(connection, self._handler, on_idle=self._note_idle)
+
+    def _note_idle(self, gateway: Gateway) -> None:
+        if self._close_when_idle:
+            gateway.close_if_idle()
+
+    def _note_closed(self) -> None:
+        if not self._server.connections:
+            self._all_closed.set()
+
+    def _close_idle(self) -> None:
+        for gateway in self._gateways:
+            gateway.close_if_idle()
+
+    async def _wait_closed(self, deadline: float) -> None:
+        """Wait until no connection is open, or until a time of the loop's clock."""
+        self._all_closed.clear()
+        with suppress(TimeoutError):
+            async with asyncio.timeout_at(deadline):
+                if self.connections:
+                    await self._all_closed.wait()
 
     def _send(self, packet: bytes, caller: tuple[str, int]) -> None:
         entry = self._paths.choose(caller)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -13,3 +13,9 @@
 def files(tmp_path_factory) -> CertificateFiles:
     """Certificate and key of a service on loopback."""
     return write_certificate(tmp_path_factory.mktemp("certificate"))
+
+
+@pytest.fixture(scope="session")
+def certificate(files: CertificateFiles) -> tuple[str, str]:
+    """Return the paths of the certificate and of its key."""
+    return str(files.certificate), str(files.private_key)
--- a/tests/test_quic.py
+++ b/tests/test_quic.py
@@ -1,81 +1,34 @@
 """The aioquic adapter and the gateway, with the library's own stock client."""
 
 import asyncio
-import datetime
 import random
 import ssl
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
-from pathlib import Path
 
 import pytest
 from aioquic.asyncio.client import connect
-from aioquic.asyncio.protocol import QuicConnectionProtocol
-from aioquic.h3.connection import H3_ALPN, H3Connection
-from aioquic.h3.events import DataReceived, HeadersReceived
+from aioquic.h3.connection import H3_ALPN
 from aioquic.quic.configuration import QuicConfiguration
-from aioquic.quic.events import QuicEvent, StreamReset
-from cryptography import x509
-from cryptography.hazmat.primitives import hashes, serialization
-from cryptography.hazmat.primitives.asymmetric import ec
-from cryptography.x509.oid import NameOID
+from hypothesis import given
+from hypothesis import strategies as st
 
 from cranberryhold.addresses import Address
 from cranberryhold.clock import SystemClock
 from cranberryhold.connection_ids import ConnectionIdCodec, TargetRef
 from cranberryhold.exchange import Request, Response, bytes_body
+from cranberryhold.gateway import _StartedStreams
 from cranberryhold.keys import KeyRing
 from cranberryhold.manifest import Service
 from cranberryhold.members import MemberTable
 from cranberryhold.packets import Direction, ForwardCodec, read_connection_id
 from cranberryhold.sidecar import Sidecar, quic_configuration
+from tests.stock_client import StockClient
+from tests.waiting import until
 
 KEYS = KeyRing({1: bytes(32)})
+LIMIT_S = 10.0
 SERVICE = Service(name="khata-core", addresses=("127.0.0.1:4433",))
-LIMIT_S = 10
-
-
-class StockClient(QuicConnectionProtocol):
-    """A minimal HTTP/3 client over the library's own classes."""
-
-    def __init__(self, *args: object, **kwargs: object) -> None:
-        super().__init__(*args, **kwargs)
-        self.h3 = H3Connection(self._quic)
-        self.answers: dict[int, asyncio.Future[tuple[int, bytes]]] = {}
-        self.parts: dict[int, tuple[int, bytes]] = {}
-
-    def quic_event_received(self, event: QuicEvent) -> None:
-        if isinstance(event, StreamReset):
-            self.answers[event.stream_id].set_result((-event.error_code, b""))
-        for h3_event in self.h3.handle_event(event):
-            self.take(h3_event)
-
-    def take(self, event: object) -> None:
-        if not isinstance(event, HeadersReceived | DataReceived):
-            return
-        status, data = self.parts.get(event.stream_id, (0, b""))
-        if isinstance(event, HeadersReceived):
-            status = int(dict(event.headers)[b":status"])
-        else:
-            data += event.data
-        self.parts[event.stream_id] = (status, data)
-        if event.stream_ended:
-            self.answers[event.stream_id].set_result((status, data))
-
-    async def get(self, path: str, body: bytes = b"") -> tuple[int, bytes]:
-        stream_id = self._quic.get_next_available_stream_id()
-        self.answers[stream_id] = asyncio.get_running_loop().create_future()
-        headers = [
-            (b":method", b"POST" if body else b"GET"),
-            (b":scheme", b"https"),
-            (b":authority", b"localhost"),
-            (b":path", path.encode()),
-        ]
-        self.h3.send_headers(stream_id, headers, end_stream=not body)
-        if body:
-            self.h3.send_data(stream_id, body, end_stream=True)
-        self.transmit()
-        return await asyncio.wait_for(self.answers[stream_id], LIMIT_S)
 
 
 class Forwarder(asyncio.DatagramProtocol):
@@ -101,27 +54,6 @@
         self.transport.sendto(header + data, (self.target.ip, self.target.port))
 
 
-@pytest.fixture(scope="module")
-def certificate(tmp_path_factory: pytest.TempPathFactory) -> tuple[str, str]:
-    folder: Path = tmp_path_factory.mktemp("certificate")
-    key = ec.generate_private_key(ec.SECP256R1())
-    name = x509.Name([x509.NameAttribute(NameOID.COMMON_NAME, "localhost")])
-    start = datetime.datetime(2026, 1, 1, tzinfo=datetime.UTC)
-    cert = (
-        x509.CertificateBuilder(name, name, key.public_key(), 1)
-        .not_valid_before(start)
-        .not_valid_after(start + datetime.timedelta(days=3650))
-        .sign(key, hashes.SHA256())
-    )
-    pem = serialization.Encoding.PEM
-    (folder / "cert.pem").write_bytes(cert.public_bytes(pem))
-    private = serialization.PrivateFormat.PKCS8
-    (folder / "key.pem").write_bytes(
-        key.private_bytes(pem, private, serialization.NoEncryption())
-    )
-    return str(folder / "cert.pem"), str(folder / "key.pem")
-
-
 @asynccontextmanager
 async def echo(request: Request) -> AsyncIterator[Response]:
     body = b"".join([chunk async for chunk in request.body])
@@ -174,7 +106,7 @@
     open_client, forwarder, _, target = path_to_sidecar
     async with open_client() as client:
         assert await client.get("/a") == (200, b"/a ")
-        assert await client.get("/b", b"x" * 100_000) == (200, b"/b " + b"x" * 100_000)
+        assert await client.post("/b", b"x" * 100_000) == (200, b"/b " + b"x" * 100_000)
         client.change_connection_id()
         assert await client.get("/c") == (200, b"/c ")
     codec = ConnectionIdCodec(KEYS)
@@ -194,6 +126,29 @@
     assert answers == [(200, f"{path} ".encode()) for path in paths]
 
 
+@given(st.permutations([4 * n for n in range(12)]), st.integers(0, 44))
+def test_request_streams_may_arrive_in_any_order(ids: list[int], again: int) -> None:
+    """Guards against taking a late request for the trailers of an older one."""
+    started = _StartedStreams()
+    assert all(started.add(stream_id) for stream_id in ids)
+    assert not started.add(again - again % 4)
+    assert (started.next_id, started.floor, started.above) == (48, 48, set())
+
+
+async def test_closing_after_the_last_request_does_not_cut_its_answer(
+    path_to_sidecar: tuple,
+) -> None:
+    open_client, _, sidecar, _ = path_to_sidecar
+    async with open_client() as client:
+        body = b"x" * 200_000
+        answer = asyncio.ensure_future(client.post("/big", body))
+        await until(lambda: sidecar.running)
+        drain = asyncio.ensure_future(sidecar.drain(0.0, LIMIT_S))
+        sidecar._close_when_idle = True
+        assert await answer == (200, b"/big " + body)
+        assert await drain == 0
+
+
 async def test_requests_after_a_goaway_are_rejected_as_not_run(
     path_to_sidecar: tuple,
 ) -> None:
--- /dev/null
+++ b/tests/test_scenarios.py
@@ -0,0 +1,394 @@
+"""Scripted scenarios in virtual time; see the folder ``features``."""
+
+import asyncio
+import json
+from collections.abc import Awaitable, Iterator
+
+import looptime
+import pytest
+from pytest_bdd import given, parsers, scenarios, step, then, when
+
+from cranberryhold.manifest import ClassKind, RequestClass, Service
+from cranberryhold.members import MemberState
+from cranberryhold.packets import Direction, ForwardCodec
+from cranberryhold.routing import Drop
+from tests.world import KEYS, World, WorldCaller
+
+scenarios("features")
+
+ZONES = {
+    "Himal": (["baneshwor", "lalitpur", "bhaktapur"], 0.004, 4),
+    "Gebeya": (["addis-a", "addis-b", "addis-c"], 0.003, 3),
+}
+PORTS = {"khata-core": 4433, "bill-intake": 4434, "returns-core": 4435}
+UNITS = {"hour": 3600.0, "second": 1.0}
+H3_REQUEST_REJECTED = 0x10B
+LONGEST_SILENCE_S = 60.0
+
+
+class Script:
+    """What the steps of one scenario share."""
+
+    def __init__(self, certificate: tuple[str, str]) -> None:
+        self.loop = looptime.new_event_loop()
+        self.certificate = certificate
+        self.world: World
+        self.slots = 0
+        self.connection: WorldCaller
+        self.answer: asyncio.Future
+        self.drains: dict[str, asyncio.Task[int]] = {}
+        self.runs_before: dict[str, int] = {}
+        self.answers: list[tuple[str, str, tuple[int, bytes]]] = []
+        self.seen: list[Drop] = []
+
+    def run(self, awaitable: Awaitable):
+        """Run until it is done, in virtual time."""
+        return self.loop.run_until_complete(awaitable)
+
+    def close(self) -> None:
+        """Cancel what still runs."""
+        tasks = asyncio.all_tasks(self.loop)
+        for task in tasks:
+            task.cancel()
+        self.run(asyncio.gather(*tasks, return_exceptions=True))
+        self.loop.close()
+
+
+@pytest.fixture
+def script(certificate: tuple[str, str]) -> Iterator[Script]:
+    """Return the script of one scenario."""
+    script = Script(certificate)
+    yield script
+    script.close()
+
+
+def service(name: str, slots: int) -> Service:
+    classes = (
+        RequestClass(name="feed", kind=ClassKind.FEED, path_prefix="/feed"),
+        RequestClass(name="work", deadline_s=1000),
+    )
+    return Service(
+        name=name,
+        addresses=(f"127.0.0.1:{PORTS[name]}",),
+        slots_per_target=slots,
+        classes=classes,
+    )
+
+
+@given(parsers.parse("the data centres of {user} with {count:d} entry instances"))
+def _(script: Script, user: str, count: int) -> None:
+    zones, delay_s, script.slots = ZONES[user]
+
+    async def build() -> None:
+        script.world = World(zones, delay_s, script.certificate)
+        for number in range(count):
+            script.world.add_entry(f"e{number + 1}", zones[number % len(zones)])
+
+    script.run(build())
+
+
+@step(parsers.re(r"(?P<name>[a-z-]+) with (?P<count>\d+) targets( is added)?$"))
+def _(script: Script, name: str, count: str) -> None:
+    async def build() -> None:
+        world = script.world
+        world.add_service(service(name, script.slots))
+        for number in range(int(count)):
+            zone = world.zones[number % len(world.zones)]
+            world.add_target(f"{name}-{number + 1}", zone, name)
+        await world.settle()
+
+    script.run(build())
+
+
+@given(parsers.parse("{count:d} open feeds of {name}"))
+def _(script: Script, count: int, name: str) -> None:
+    for _ in range(count):
+        script.run(script.world.open_feed(name))
+
+
+@given(parsers.parse("links between zones lose {percent:d} % and vary by {ms:d} ms"))
+def _(script: Script, percent: int, ms: int) -> None:
+    script.world.network.loss = percent / 100
+    script.world.network.jitter_s = ms / 1000
+
+
+@step(parsers.parse("entry instance {name} is cut off from all news"))
+def _(script: Script, name: str) -> None:
+    script.world.cut_off.add(name)
+
+
+@given(parsers.parse("only entry instance {name} gets packets"))
+def _(script: Script, name: str) -> None:
+    script.world.sprayed_to = [name]
+
+
+@when("each entry instance is replaced in turn")
+def _(script: Script) -> None:
+    async def replace() -> None:
+        world = script.world
+        for name, entry in list(world.entries.items()):
+            world.add_entry(f"{name}-new", entry.member.zone)
+            await world.stop_entry(name)
+            await asyncio.sleep(30)
+
+    script.run(replace())
+
+
+@when(parsers.re(r"all entry instances are replaced (?P<how>at once|by ones .*)"))
+def _(script: Script, how: str) -> None:
+    async def replace() -> None:
+        world = script.world
+        old = list(world.entries.items())
+        for name, entry in old:
+            if how != "at once":
+                world.cut_off.add(f"{name}-new")
+            world.add_entry(f"{name}-new", entry.member.zone)
+        await asyncio.gather(*(world.stop_entry(name) for name, _ in old))
+
+    script.run(replace())
+
+
+@when(parsers.parse("entry instance {name} is killed"))
+def _(script: Script, name: str) -> None:
+    async def kill() -> None:
+        script.world.kill(name)
+        await asyncio.sleep(6)
+        script.world.change(name, state=MemberState.DOWN)
+
+    script.run(kill())
+
+
+@when(parsers.parse("target {name} is killed"))
+def _(script: Script, name: str) -> None:
+    async def kill() -> None:
+        script.world.kill(name)
+        script.world.change(name, state=MemberState.DOWN)
+
+    script.run(kill())
+
+
+@when(parsers.re(r"entry instance (?P<name>\S+) (?P<verb>freezes|resumes)$"))
+def _(script: Script, name: str, verb: str) -> None:
+    freeze(script, name, verb)
+
+
+@when(parsers.re(r"the target of feed (?P<number>\d+) (?P<verb>freezes|resumes)$"))
+def _(script: Script, number: str, verb: str) -> None:
+    world = script.world
+    freeze(script, world.target_of(world.feeds[int(number) - 1].caller), verb)
+
+
+def freeze(script: Script, name: str, verb: str) -> None:
+    async def act() -> None:
+        if verb == "freezes":
+            script.world.network.frozen.add(name)
+        elif verb == "resumes":
+            script.world.network.resume(name)
+        else:
+            raise ValueError(verb)
+
+    script.run(act())
+
+
+@when(parsers.parse("{count:d} targets are added to {name}"))
+def _(script: Script, count: int, name: str) -> None:
+    async def add() -> None:
+        for number in range(count):
+            script.world.add_target(f"{name}-new-{number}", script.world.zones[0], name)
+
+    script.run(add())
+
+
+@when(parsers.re(r"(?P<count>\d+) (?P<unit>hour|second)s? pass(es)?$"))
+def _(script: Script, count: str, unit: str) -> None:
+    script.run(asyncio.sleep(int(count) * UNITS[unit]))
+
+
+@when(parsers.re(r"target (?P<name>\S+) starts to drain(?P<limit> with .*)?$"))
+def _(script: Script, name: str, limit: str | None) -> None:
+    drain(script, name, float(limit.split()[-2]) if limit else 8 * 3600.0)
+
+
+@when(parsers.parse("the target of feed {number:d} starts to drain"))
+def _(script: Script, number: int) -> None:
+    world = script.world
+    drain(script, world.target_of(world.feeds[number - 1].caller), 8 * 3600.0)
+
+
+def drain(script: Script, name: str, limit_s: float) -> None:
+    async def start() -> None:
+        target = script.world.targets[name]
+        script.runs_before[name] = target.runs.total()
+        script.world.change(name, weight=0, state=MemberState.LEAVING)
+        target.pipeline.begin_drain(3.0)
+        script.drains[name] = asyncio.ensure_future(target.sidecar.drain(3.0, limit_s))
+
+    script.run(start())
+
+
+@given(parsers.parse("a connection to target {name}"))
+def _(script: Script, name: str) -> None:
+    async def open_there() -> WorldCaller:
+        while True:
+            caller = await script.world.connect(name.rpartition("-")[0])
+            if script.world.target_of(caller) == name:
+                return caller
+
+    script.connection = script.run(open_there())
+
+
+@given(parsers.parse("a request of {seconds:d} seconds is running on the connection"))
+def _(script: Script, seconds: int) -> None:
+    async def start() -> None:
+        path = f"/slow?seconds={seconds}"
+        _, script.answer = script.connection.send("GET", path)
+        await asyncio.sleep(1)
+
+    script.run(start())
+
+
+@when("the connection sends a request")
+def _(script: Script) -> None:
+    async def send() -> None:
+        _, script.answer = script.connection.send("GET", "/late")
+        await asyncio.wait_for(asyncio.shield(script.answer), 10)
+
+    script.run(send())
+
+
+@when("the connection sends a request without an answer")
+def _(script: Script) -> None:
+    name = next(n for n in script.world.targets if n.endswith("-9"))
+    script.runs_before[name] = script.world.targets[name].runs.total()
+
+    async def send() -> None:
+        script.connection.send("GET", "/lost")
+        await asyncio.sleep(20)
+
+    script.run(send())
+
+
+@when(parsers.parse("target {name} starts at the address of {old}"))
+def _(script: Script, name: str, old: str) -> None:
+    async def start() -> None:
+        address = script.world.members[old].forward_address
+        kind = name.rpartition("-")[0]
+        zone = script.world.members[old].zone
+        script.world.add_target(name, zone, kind, address=address)
+
+    script.run(start())
+
+
+@when(parsers.parse("{count:d} new connections to {name} are tried"))
+def _(script: Script, count: int, name: str) -> None:
+    async def connect() -> None:
+        tries = [script.world.connect(name) for _ in range(count)]
+        await asyncio.gather(*tries, return_exceptions=True)
+
+    script.run(connect())
+
+
+@step(parsers.parse("{count:d} new connections to {name} are answered"))
+def _(script: Script, count: int, name: str) -> None:
+    async def ask() -> tuple[int, bytes]:
+        return await (await script.world.connect(name)).get("/new")
+
+    async def ask_all() -> list[tuple[int, bytes]]:
+        return await asyncio.gather(*(ask() for _ in range(count)))
+
+    assert {status for status, _ in script.run(ask_all())} == {200}
+
+
+@when(
+    parsers.parse("{count:d} connections to {one} and {two} send {n:d} requests each")
+)
+def _(script: Script, count: int, one: str, two: str, n: int) -> None:
+    async def ask(number: int) -> None:
+        name = (one, two)[number % 2]
+        caller = await script.world.connect(name)
+        bodies = [f"{number}.{k}" for k in range(n)]
+        posts = [caller.post("/echo", body.encode()) for body in bodies]
+        answers = await asyncio.gather(*posts)
+        script.answers += zip([name] * n, bodies, answers, strict=True)
+
+    async def ask_all() -> None:
+        await asyncio.gather(*(ask(number) for number in range(count)))
+
+    script.run(ask_all())
+
+
+@when(parsers.parse("the connection's packets are sent to the address of {name}"))
+def _(script: Script, name: str) -> None:
+    world = script.world
+    entry = world.entries["e1"]
+    codec = ForwardCodec(KEYS, Direction.TO_TARGET)
+    target = world.targets["khata-core-1"]
+    other = world.services[name]
+    connection_id = script.connection._quic._peer_cid.cid
+    packet = b"\x40" + connection_id + bytes(100)
+    caller = next(a for a, c in world.callers.items() if c is script.connection)
+    script.seen = [entry.router.route(entry.tables[name], packet)]
+    # An entry instance that took it for the other service would still be stopped.
+    datagram = codec.header(caller, other.endpoints[0]) + packet
+    target.sidecar.datagram_received(datagram, ("10.1.0.1", 7000))
+
+
+@then("all of them are dropped as of another service")
+def _(script: Script) -> None:
+    assert script.seen == [Drop.OTHER_SERVICE]
+    sidecar = script.world.targets["khata-core-1"].sidecar
+    assert sidecar.counts["dropped_other_service"] == 1
+
+
+@then("each request has its own whole answer")
+def _(script: Script) -> None:
+    assert len(script.answers) == 150
+    for name, body, (status, data) in script.answers:
+        answer = json.loads(data)
+        assert (status, answer["service"], answer["body"]) == (200, name, body)
+
+
+@then("no feed has a gap or a repeat")
+def _(script: Script) -> None:
+    for feed in script.world.feeds:
+        assert feed.caller.terminated is None
+        numbers = feed.numbers
+        assert numbers == list(range(len(numbers)))
+        # Lines may still be on their way, but a minute's silence is a gap.
+        silence_s = script.loop.time() - feed.opened_at - feed.covered_s
+        assert silence_s < LONGEST_SILENCE_S
+
+
+@then(parsers.parse("target {name} has run nothing new"))
+def _(script: Script, name: str) -> None:
+    target = script.world.targets[name]
+    assert target.runs.total() == script.runs_before.get(name, 0)
+
+
+@then(parsers.parse("target {name} holds no connection"))
+def _(script: Script, name: str) -> None:
+    assert script.world.targets[name].sidecar.connections == 0
+
+
+@then(parsers.parse("first packets were passed on by {name}"))
+def _(script: Script, name: str) -> None:
+    counts = script.world.targets[name].sidecar.counts
+    assert counts["passed_on_connections"] > 0
+
+
+@then("the request is rejected as not run")
+def _(script: Script) -> None:
+    assert script.answer.result() == (-H3_REQUEST_REJECTED, b"")
+
+
+@then("the request has its whole answer")
+def _(script: Script) -> None:
+    status, data = script.answer.result()
+    assert (status, json.loads(data)["path"]) == (200, "/slow")
+
+
+@then(parsers.re(r"the drain has cut (?P<count>\d+) requests?"))
+def _(script: Script, count: str) -> None:
+    (drain,) = script.drains.values()
+    assert drain.done()
+    assert drain.result() == int(count)
