--- a/tests/routes.py
+++ b/tests/routes.py
@@ -43,3 +43,18 @@
     async with asyncio.timeout(10):
         for _ in iter(lambda: bool(condition()), True):
             await asyncio.sleep(0)
+
+
+class StoppedClock:
+    """A clock whose time tests set; nothing may sleep on it."""
+
+    def __init__(self) -> None:
+        self.now = 0.0
+
+    def monotonic(self) -> float:
+        return self.now
+
+    wall = monotonic
+
+    async def sleep(self, seconds: float) -> None:
+        raise AssertionError("sleeps on a clock that is stopped")
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -94,6 +94,44 @@
         }
 
 
+async def test_bad_packets_are_counted_and_leave_no_state(peers) -> None:
+    caller, upstream = peers
+    listen = Address(LOCAL, free_port())
+    ref = TargetRef(upstream.address, service_id("core"), 1)
+    good = short(ConnectionIdCodec(RING).encode(ref, 1))
+    members = MemberTable()
+    members.merge(target("t1", str(upstream.address)))
+    async with running_entry(members, core=(str(listen),)) as (entry, forward):
+        caller.send(good, listen)
+        replayed, _ = await upstream.receive()
+        before = entry.state()
+        for bad in (
+            b"",
+            good[:20],
+            good.ljust(2000, b"\0"),
+            good[:20] + bytes((good[20] ^ 1,)) + good[21:],
+            initial(b"8 bytes!", size=1199),
+            replayed,  # a datagram for a target is no packet of a caller
+        ):
+            caller.send(bad, listen)
+        upstream.send(replayed, forward)
+        caller.send(good, listen)
+        again, _ = await upstream.receive()
+        assert again == replayed
+        await until(lambda: entry.drops.get(Drop.FORGED_HEADER))
+        after = entry.state()
+        assert entry.drops == {
+            Drop.TRUNCATED: 2,
+            Drop.OVERSIZED: 1,
+            Drop.UNKNOWN_ID: 2,
+            Drop.NOT_FIRST: 1,
+            Drop.FORGED_HEADER: 1,
+        }
+        for counter in ("forwarded", "dropped"):
+            before.pop(counter), after.pop(counter)
+        assert after == before
+
+
 async def test_manifest_opens_and_closes_addresses_and_never_reverts(peers) -> None:
     caller, upstream = peers
     first, second = free_port(), free_port()
