--- a/src/cranberryhold/exceptions.py
+++ b/src/cranberryhold/exceptions.py
@@ -82,3 +82,28 @@
 
 class OutcomeUnknownError(CranberryholdError):
     """A request was lost after it may have started to run."""
+
+
+class KeyRequiredError(NotRunError):
+    """A request needs an idempotency key and did not run without one.
+
+    :param key: a fresh key to store with the item and to use for all attempts.
+    """
+
+    def __init__(
+        self, message: str, *, key: str, step: str = "", peer: str = ""
+    ) -> None:
+        super().__init__(message, step=step, peer=peer)
+        self.key = key
+
+
+class FeedRefusedError(CranberryholdError):
+    """A feed answered with an error status, which trying again won't change."""
+
+
+class DeadlinePassedError(OutcomeUnknownError):
+    """The deadline of a request passed after it may have started to run."""
+
+
+class BodyTooLargeError(OutcomeUnknownError):
+    """A body exceeded its limit after the request may have started to run."""
