Rebuild tables only when targets or weights differ; look at held targets again

Cause: every suspicion and refutation rebuilt a table of its service; members that are forgotten cause no change, so a held target could stay in a table after its record was gone; two processes at one address both counted. Change: a rebuild compares weights first; services with held targets are looked at again every 10 s; the last started process at an address decides its weight. Tests of each, which fail without the change. Conclusion: a change that moves no weight now costs a sort of the service's records.

--- a/src/cranberryhold/entry.py
+++ b/src/cranberryhold/entry.py
@@ -214,12 +214,12 @@
         port = self._ports[listen]
         service, address = port.service, port.packed
         route, header_for = self._router.route, self._to_target.header_for
-        send = self._forward.sendto
+        send, forwarded = self._forward.sendto, 0
         for _ in range(_BATCH_PACKETS):
             try:
                 packet, caller = sock.recvfrom(_RECEIVE_BYTES)
             except OSError:
-                return
+                break
             target = route(service, packet)
             if target.__class__ is Drop:
                 self._drops[target] += 1
@@ -230,7 +230,8 @@
             except OSError:
                 self._drops[Drop.SEND_FAILED] += 1
             else:
-                self._counts["forwarded"] += 1
+                forwarded += 1
+        self._counts["forwarded"] += forwarded
 
     def _take_replies(self, sock: socket.socket) -> None:
         decode, ports = self._to_caller.decode, self._reply_ports
--- a/src/cranberryhold/targets.py
+++ b/src/cranberryhold/targets.py
@@ -2,9 +2,10 @@
 
 import asyncio
 from collections.abc import AsyncIterator, Iterable
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 from math import inf
 
+from cranberryhold.addresses import Address
 from cranberryhold.clock import Clock, SystemClock
 from cranberryhold.manifest import service_id
 from cranberryhold.members import Member, MemberChange, MemberState, MemberTable
@@ -13,6 +14,8 @@
 GUARD_WINDOW_S = 10.0
 # Changes that arrive together, such as the records of a zone, cost one rebuild.
 COALESCE_S = 0.1
+# Members that are forgotten cause no change, so held targets are looked at again.
+_RECHECK_HELD_S = 10.0
 
 
 class DownGuard:
@@ -105,11 +108,16 @@
         """None until the first build."""
 
     def rebuild(self, members: MemberTable, now: float) -> MaglevTable:
-        """Build the table from what is believed of the members now."""
-        kept = self.guard.keep(members.of_service(self.name), now)
-        weights = [(m.forward_address.pack(), m.weight) for m in kept]
-        salt = self.service_id.to_bytes(4, "big")
-        self.table = MaglevTable(weights, salt)
+        """Return the table for what is believed of the members now.
+
+        It is built only if targets or weights differ, as most changes of a member
+        (suspicion, refutation) change neither.
+        """
+        kept = self.guard.keep(_newest(members.of_service(self.name)), now)
+        weights = {m.forward_address.pack(): m.weight for m in kept}
+        if self.table is None or dict(self.table.weights) != weights:
+            salt = self.service_id.to_bytes(4, "big")
+            self.table = MaglevTable(weights.items(), salt)
         return self.table
 
 
@@ -167,7 +175,10 @@
 
     async def _refresh_on_changes(self) -> None:
         while True:
-            await self._changed.wait()
+            with suppress(TimeoutError):
+                async with asyncio.timeout(_RECHECK_HELD_S):
+                    await self._changed.wait()
+            self._mark(s.name for s in self if s.guard.held)
             self._changed.clear()
             while self._stale:
                 self._refresh_one()
@@ -193,3 +204,11 @@
         self._stale.update(names)
         if self._stale:
             self._changed.set()
+
+
+def _newest(members: Iterable[Member]) -> list[Member]:
+    """Return the last started member at each address, which others have left."""
+    newest: dict[Address, Member] = {}
+    for member in sorted(members, key=lambda m: m.incarnation):
+        newest[member.forward_address] = member
+    return list(newest.values())
--- a/tests/routes.py
+++ b/tests/routes.py
@@ -1,8 +1,5 @@
 """Builders that the data path's tests share."""
 
-import asyncio
-from collections.abc import Callable
-
 from cranberryhold.addresses import Address
 from cranberryhold.keys import KeyRing
 from cranberryhold.manifest import AcceptedManifest, Manifest, Service
@@ -38,13 +35,6 @@
     return (b"\x40" + connection_id).ljust(size, b"\1")
 
 
-async def until(condition: Callable[[], object]) -> None:
-    """Let the event loop run until the condition holds; fail after 10 s."""
-    async with asyncio.timeout(10):
-        for _ in iter(lambda: bool(condition()), True):
-            await asyncio.sleep(0)
-
-
 class StoppedClock:
     """A clock whose time tests set; nothing may sleep on it."""
 
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -14,8 +14,9 @@
 from cranberryhold.packets import Direction, ForwardCodec
 from cranberryhold.routing import Drop
 from cranberryhold.settings import EntrySettings, NodeSettings
-from tests.routes import RING, accepted, initial, short, target, until
+from tests.routes import RING, accepted, initial, short, target
 from tests.sockets import LOCAL, Peer, free_port
+from tests.waiting import until
 
 CORE = "10.9.8.7"
 TO_TARGET = ForwardCodec(RING, Direction.TO_TARGET)
--- a/tests/test_fabric.py
+++ b/tests/test_fabric.py
@@ -4,8 +4,8 @@
 
 from cranberryhold.addresses import Address
 from emulator.fabric import Fabric, Impairment
-from tests.routes import until
 from tests.sockets import LOCAL, Peer, free_port
+from tests.waiting import until
 
 
 async def test_packets_are_sprayed_and_replies_come_from_the_service() -> None:
--- a/tests/test_guard.py
+++ b/tests/test_guard.py
@@ -1,9 +1,12 @@
 """Guard against mass reports of failure: a misled observer must not empty a service."""
 
+import asyncio
+
 import pytest
 
-from cranberryhold.members import Member, MemberChange, MemberState
-from cranberryhold.targets import DownGuard
+from cranberryhold.addresses import Address
+from cranberryhold.members import Member, MemberChange, MemberState, MemberTable
+from cranberryhold.targets import DownGuard, ServiceTargets, TargetTables
 from tests.routes import target
 
 DOWN, LEAVING, ALIVE = MemberState.DOWN, MemberState.LEAVING, MemberState.ALIVE
@@ -100,3 +103,38 @@
         observer.turn(DOWN, number, at=100.0 + 20 * number)
         observer.kept(at=100.0 + 20 * number)
     assert observer.kept(at=140.0) == {0, 1, 2}
+
+
+@pytest.mark.looptime
+async def test_held_targets_that_are_forgotten_leave_the_table() -> None:
+    members = MemberTable()
+    tables = TargetTables(members)
+    for n in range(3):
+        members.merge(target(f"t{n}", f"10.0.0.{n + 1}:443"))
+    tables.track(["core"])
+    async with tables.following():
+        await asyncio.sleep(1)
+        for n in range(2):
+            members.merge(members.get(f"t{n}").with_state(DOWN))
+        await asyncio.sleep(1)
+        assert len(tables["core"].table.weights) == 3
+        members.forget("t0")
+        await asyncio.sleep(60)
+        assert len(tables["core"].table.weights) == 1
+
+
+def test_newest_process_at_an_address_decides_its_weight() -> None:
+    members = MemberTable()
+    members.merge(target("old", "10.0.0.1:443", incarnation=1))
+    members.merge(target("other", "10.0.0.2:443", incarnation=1))
+    members.merge(target("new", "10.0.0.1:443", incarnation=2, weight=0))
+    table = ServiceTargets("core").rebuild(members, 0.0)
+    assert table.weights == ((Address("10.0.0.2", 443).pack(), 100),)
+
+
+def test_suspicion_alone_rebuilds_nothing() -> None:
+    members, service = MemberTable(), ServiceTargets("core")
+    members.merge(target("t0", "10.0.0.1:443"))
+    table = service.rebuild(members, 0.0)
+    members.merge(members.get("t0").with_state(MemberState.SUSPECT))
+    assert service.rebuild(members, 0.0) is table
--- a/tools/bench.py
+++ b/tools/bench.py
@@ -15,6 +15,7 @@
 
 from cranberryhold.addresses import Address
 from cranberryhold.members import Member, MemberTable, Role
+from cranberryhold.placement import MaglevTable
 from cranberryhold.routing import Router
 from cranberryhold.targets import TargetTables
 from tools.bench_parts import KEYS, SERVICE, flow_packet
@@ -118,7 +119,7 @@
         _fastest(lambda: [router.route(service, p) for p in firsts])
         / len(firsts)
         * 1e6,
-        _fastest(lambda: service.rebuild(members, 0.0)) * 1e3,
+        _fastest(lambda: MaglevTable(service.table.weights)) * 1e3,
     )
 
 
