Read batches in the fabric stand-in and share its sockets among addresses

Cause: one packet per event made the stand-in slower than what it stands for, and two service addresses could open more sockets than a process may have. Change: up to 32 packets per event; the limit of 900 client sockets is shared. Conclusion: no change in behaviour otherwise; its rate is not measured.

--- a/emulator/fabric.py
+++ b/emulator/fabric.py
@@ -15,16 +15,19 @@
 import socket
 import sys
 from collections import Counter, OrderedDict
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from contextlib import AsyncExitStack, asynccontextmanager, suppress
 from dataclasses import dataclass, field
+from functools import partial
 
 from cranberryhold.addresses import Address
 
 _RECEIVE_BYTES = 65535
 _SOCKET_BUFFER_BYTES = 4 * 1024 * 1024
-# Below the usual limit of 1,024 open files of a process.
+# Clients of all sprays together, below the usual limit of 1,024 open files of a
+# process; a client beyond it takes the place of the one not heard for longest.
 _MAXIMUM_CLIENTS = 900
+_BATCH_PACKETS = 32
 
 Peer = tuple[str, int]
 
@@ -61,11 +64,17 @@
     :param listen: address at which clients send.
     :param destinations: where each datagram may go, chosen at random.
     :param impairment: loss and delay.
+    :param maximum_clients: clients that may have a socket at the same time.
     """
 
     def __init__(
-        self, listen: Address, destinations: list[Peer], impairment: Impairment
+        self,
+        listen: Address,
+        destinations: list[Peer],
+        impairment: Impairment,
+        maximum_clients: int = _MAXIMUM_CLIENTS,
     ) -> None:
+        self._maximum_clients = maximum_clients
         self.destinations = destinations
         self.sent: Counter[Peer] = Counter()
         self._listen = listen
@@ -88,11 +97,9 @@
             self._front.close()
 
     def _take_from_client(self) -> None:
-        # Errors here report an earlier datagram that a dead process did not take.
-        with suppress(OSError):
-            data, client = self._front.recvfrom(_RECEIVE_BYTES)
+        for data, client in _received(self._front):
             upstream = self._upstream_of(client)
-            self._impairment.carry(lambda: self._send_on(upstream, data))
+            self._impairment.carry(partial(self._send_on, upstream, data))
 
     def _send_on(self, upstream: socket.socket, data: bytes) -> None:
         if not self.destinations:
@@ -103,9 +110,8 @@
             upstream.sendto(data, destination)
 
     def _take_reply(self, upstream: socket.socket, client: Peer) -> None:
-        with suppress(OSError):
-            data = upstream.recv(_RECEIVE_BYTES)
-            self._impairment.carry(lambda: self._send_back(data, client))
+        for data, _ in _received(upstream):
+            self._impairment.carry(partial(self._send_back, data, client))
 
     def _send_back(self, data: bytes, client: Peer) -> None:
         with suppress(OSError):
@@ -114,7 +120,7 @@
     def _upstream_of(self, client: Peer) -> socket.socket:
         upstream = self._upstream.get(client)
         if upstream is None:
-            if len(self._upstream) >= _MAXIMUM_CLIENTS:
+            if len(self._upstream) >= self._maximum_clients:
                 self._drop_oldest()
             upstream = _socket((self._listen.ip, 0))
             loop = asyncio.get_running_loop()
@@ -144,13 +150,17 @@
         impairment: Impairment,
         controls: dict[Address, list[Address]] | None = None,
     ) -> None:
+        controls = controls or {}
+        share = _MAXIMUM_CLIENTS // max(len(services) + len(controls), 1)
         self._services = {
-            address: Spray(address, [(ip, address.port) for ip in entries], impairment)
+            address: Spray(
+                address, [(ip, address.port) for ip in entries], impairment, share
+            )
             for address in services
         }
         self._controls = [
-            Spray(address, [(d.ip, d.port) for d in destinations], impairment)
-            for address, destinations in (controls or {}).items()
+            Spray(address, [(d.ip, d.port) for d in behind], impairment, share)
+            for address, behind in controls.items()
         ]
 
     @property
@@ -191,6 +201,17 @@
                 print(f"event=unknown-command line={line.strip()!r}", file=sys.stderr)
 
 
+def _received(sock: socket.socket) -> Iterator[tuple[bytes, Peer]]:
+    """Return what has arrived, up to a batch.
+
+    Errors report an earlier datagram that a dead process did not take; they end
+    the batch and what follows is read at the next event.
+    """
+    with suppress(OSError):
+        for _ in range(_BATCH_PACKETS):
+            yield sock.recvfrom(_RECEIVE_BYTES)
+
+
 def _socket(address: Peer) -> socket.socket:
     sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
     sock.setblocking(False)
