Log an address that can't be opened once and show why in the state dump

Cause: an address in use was logged every second until it was free. Change: the error is kept with the address and logged when it changes. Conclusion: a test opens the address as soon as its occupant is gone.

--- a/src/cranberryhold/entry.py
+++ b/src/cranberryhold/entry.py
@@ -40,6 +40,8 @@
     """The service's addresses in the manifest; the first goes into headers."""
     packed: bytes
     sock: socket.socket | None = None
+    error: str = ""
+    """Why the address could not be opened."""
 
 
 class Entry:
@@ -98,6 +100,7 @@
                     "addresses": [str(a) for a in port.addresses],
                     "listen": str(port.listen),
                     "open": port.sock is not None,
+                    "error": port.error,
                 }
                 for port in self._ports.values()
             ],
@@ -127,7 +130,7 @@
                 self._tables[name],
                 addresses,
                 addresses[0].pack(),
-                self._detach(before),
+                before.sock if before is not None else None,
             )
         self._ports = wanted
         self._reply_ports = {a: p for p in wanted.values() for a in p.addresses}
@@ -184,15 +187,22 @@
             try:
                 port.sock = _bound_socket(port.listen)
             except OSError as error:
-                logger.error(
-                    "event=address-not-opened service={} listen={} error={!r}",
-                    port.service.name,
-                    port.listen,
-                    str(error),
-                )
+                self._note_unopened(port, str(error))
                 continue
+            port.error = ""
             self._read(port.sock, self._take_packets, port.listen)
 
+    def _note_unopened(self, port: _ServicePort, error: str) -> None:
+        if port.error == error:
+            return
+        port.error = error
+        logger.error(
+            "event=address-not-opened service={} listen={} error={!r}",
+            port.service.name,
+            port.listen,
+            error,
+        )
+
     async def _reopen_ports(self) -> None:
         while True:
             await self._clock.sleep(_REOPEN_S)
@@ -201,9 +211,6 @@
     def _read(self, sock: socket.socket, callback: Callable, *args: object) -> None:
         asyncio.get_running_loop().add_reader(sock, callback, sock, *args)
 
-    def _detach(self, port: _ServicePort | None) -> socket.socket | None:
-        return port.sock if port is not None else None
-
     def _close(self, port: _ServicePort) -> None:
         if port.sock is not None:
             asyncio.get_running_loop().remove_reader(port.sock)
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -1,11 +1,13 @@
 """Entry on loopback sockets: packets and replies must pass through unchanged."""
 
+import asyncio
 import json
 from contextlib import asynccontextmanager
 
 import pytest
 
 from cranberryhold.addresses import Address
+from cranberryhold.clock import SystemClock
 from cranberryhold.connection_ids import ConnectionIdCodec, TargetRef
 from cranberryhold.entry import Entry
 from cranberryhold.exceptions import ManifestError
@@ -29,6 +31,13 @@
         yield caller, upstream
 
 
+class EagerClock(SystemClock):
+    """A clock on which nothing waits."""
+
+    async def sleep(self, seconds: float) -> None:
+        await asyncio.sleep(0)
+
+
 @asynccontextmanager
 async def running_entry(members: MemberTable, **services: tuple[str, ...]):
     settings = EntrySettings(
@@ -36,7 +45,7 @@
         forward_address=Address(LOCAL, free_port()),
         listen_ip=LOCAL,
     )
-    entry = Entry(keys=RING, members=members, settings=settings)
+    entry = Entry(keys=RING, members=members, settings=settings, clock=EagerClock())
     entry.apply_manifest(accepted(**services))
     async with entry.serving():
         yield entry, settings.forward_address
@@ -169,3 +178,17 @@
                 accepted(2, core=(f"{CORE}:99",), intake=("10.0.0.1:99",))
             )
         assert entry.generation == 1
+
+
+async def test_address_in_use_is_opened_once_it_is_free(peers) -> None:
+    caller, upstream = peers
+    members = MemberTable()
+    members.merge(target("t1", str(upstream.address)))
+    occupant = Peer()
+    listen = occupant.address
+    async with running_entry(members, core=(str(listen),)) as (entry, _):
+        assert "in use" in entry.state()["addresses"][0]["error"]
+        occupant.socket.close()
+        await until(lambda: entry.state()["addresses"][0]["open"])
+        caller.send(initial(b"8 bytes!"), listen)
+        await upstream.receive()
