Measure what the guard gains and costs

Cause: the guard trades first packets sent to stopped targets for load kept off the others, and neither side had a figure. Change: a table of the placement measure, computed from the tables' slots. Conclusion: the guard is right for misleading reports and costly for a true loss of most of a service, which ends when a replacement joins.

--- a/tools/measures/placement.py
+++ b/tools/measures/placement.py
@@ -16,7 +16,12 @@
 from cranberryhold.members import Member, MemberState, MemberTable, Role
 from cranberryhold.placement import MaglevTable, passes_on
 from cranberryhold.routing import Drop, Router
-from cranberryhold.targets import TargetTables
+from cranberryhold.targets import (
+    GUARD_WINDOW_S,
+    DownGuard,
+    ServiceTargets,
+    TargetTables,
+)
 from tests.baselines_placement import Baseline, HashModulo, Rendezvous, RoundRobin
 from tools.tables import Table
 
@@ -118,7 +123,12 @@
 
 def tables(seed: int) -> list[Table]:
     """Return all tables of this experiment."""
-    return [_planned_changes(seed), _handshakes(seed), _bounded_load(seed)]
+    return [
+        _planned_changes(seed),
+        _handshakes(seed),
+        _bounded_load(seed),
+        _guarded(),
+    ]
 
 
 def _member(number: int) -> Member:
@@ -289,6 +299,43 @@
     return table
 
 
+def _guarded() -> Table:
+    table = Table(
+        f"Guard: {TARGETS} targets, some reported down within a second; share of "
+        "first packets that reach a running target, load (max/mean) of running ones",
+        ("reports", "reached", "reached, no guard", "load", "load, no guard"),
+    )
+    for name, reported, stopped, replaced in (
+        ("3 down, true", 3, 3, 0),
+        ("4 down, false", 4, 0, 0),
+        ("4 down, true", 4, 4, 0),
+        ("4 down, true, 1 replaced", 4, 4, 1),
+    ):
+        on, off = (
+            _reached(DownGuard(window_s), reported, stopped, replaced)
+            for window_s in (GUARD_WINDOW_S, -1.0)
+        )
+        table.add(name, on[0], off[0], on[1], off[1])
+    return table
+
+
+def _reached(
+    guard: DownGuard, reported: int, stopped: int, replaced: int
+) -> tuple[float, float]:
+    """Return the share of keys on running targets, and their load (max/mean)."""
+    members, service = MemberTable(), ServiceTargets(SERVICE)
+    service.guard = guard
+    members.changes.subscribe(lambda change: guard.note(change, 0.0))
+    before = [_member(number) for number in range(TARGETS)]
+    new = [_member(TARGETS + number) for number in range(replaced)]
+    down = [member.with_state(MemberState.DOWN) for member in before[:reported]]
+    for member in (*before, *down, *new):
+        members.merge(member)
+    slots = Counter(service.rebuild(members, 0.0).slots())
+    running = [slots[m.forward_address.pack()] for m in (*before[stopped:], *new)]
+    return sum(running) / slots.total(), _max_over_mean(running)
+
+
 def _live(view: Targets) -> Sequence[bytes]:
     return [m.forward_address.pack() for m in view if m.accepts_new_flows]
 
