--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -1,11 +1,13 @@
 """Entry on loopback sockets: packets and replies must pass through unchanged."""
 
+import asyncio
 import json
 from contextlib import asynccontextmanager
 
 import pytest
 
 from cranberryhold.addresses import Address
+from cranberryhold.clock import SystemClock
 from cranberryhold.connection_ids import ConnectionIdCodec, TargetRef
 from cranberryhold.entry import Entry
 from cranberryhold.exceptions import ManifestError
@@ -14,8 +16,9 @@
 from cranberryhold.packets import Direction, ForwardCodec
 from cranberryhold.routing import Drop
 from cranberryhold.settings import EntrySettings, NodeSettings
-from tests.routes import RING, accepted, initial, short, target, until
+from tests.routes import RING, accepted, initial, short, target
 from tests.sockets import LOCAL, Peer, free_port
+from tests.waiting import until
 
 CORE = "10.9.8.7"
 TO_TARGET = ForwardCodec(RING, Direction.TO_TARGET)
@@ -28,6 +31,13 @@
         yield caller, upstream
 
 
+class EagerClock(SystemClock):
+    """A clock on which nothing waits."""
+
+    async def sleep(self, seconds: float) -> None:
+        await asyncio.sleep(0)
+
+
 @asynccontextmanager
 async def running_entry(members: MemberTable, **services: tuple[str, ...]):
     settings = EntrySettings(
@@ -35,7 +45,7 @@
         forward_address=Address(LOCAL, free_port()),
         listen_ip=LOCAL,
     )
-    entry = Entry(keys=RING, members=members, settings=settings)
+    entry = Entry(keys=RING, members=members, settings=settings, clock=EagerClock())
     entry.apply_manifest(accepted(**services))
     async with entry.serving():
         yield entry, settings.forward_address
@@ -94,6 +104,44 @@
         }
 
 
+async def test_bad_packets_are_counted_and_leave_no_state(peers) -> None:
+    caller, upstream = peers
+    listen = Address(LOCAL, free_port())
+    ref = TargetRef(upstream.address, service_id("core"), 1)
+    good = short(ConnectionIdCodec(RING).encode(ref, 1))
+    members = MemberTable()
+    members.merge(target("t1", str(upstream.address)))
+    async with running_entry(members, core=(str(listen),)) as (entry, forward):
+        caller.send(good, listen)
+        replayed, _ = await upstream.receive()
+        before = entry.state()
+        for bad in (
+            b"",
+            good[:20],
+            good.ljust(2000, b"\0"),
+            good[:20] + bytes((good[20] ^ 1,)) + good[21:],
+            initial(b"8 bytes!", size=1199),
+            replayed,  # a datagram for a target is no packet of a caller
+        ):
+            caller.send(bad, listen)
+        upstream.send(replayed, forward)
+        caller.send(good, listen)
+        again, _ = await upstream.receive()
+        assert again == replayed
+        await until(lambda: entry.drops.get(Drop.FORGED_HEADER))
+        after = entry.state()
+        assert entry.drops == {
+            Drop.TRUNCATED: 2,
+            Drop.OVERSIZED: 1,
+            Drop.UNKNOWN_ID: 2,
+            Drop.NOT_FIRST: 1,
+            Drop.FORGED_HEADER: 1,
+        }
+        for counter in ("forwarded", "dropped"):
+            before.pop(counter), after.pop(counter)
+        assert after == before
+
+
 async def test_manifest_opens_and_closes_addresses_and_never_reverts(peers) -> None:
     caller, upstream = peers
     first, second = free_port(), free_port()
@@ -130,3 +178,17 @@
                 accepted(2, core=(f"{CORE}:99",), intake=("10.0.0.1:99",))
             )
         assert entry.generation == 1
+
+
+async def test_address_in_use_is_opened_once_it_is_free(peers) -> None:
+    caller, upstream = peers
+    members = MemberTable()
+    members.merge(target("t1", str(upstream.address)))
+    occupant = Peer()
+    listen = occupant.address
+    async with running_entry(members, core=(str(listen),)) as (entry, _):
+        assert "in use" in entry.state()["addresses"][0]["error"]
+        occupant.socket.close()
+        await until(lambda: entry.state()["addresses"][0]["open"])
+        caller.send(initial(b"8 bytes!"), listen)
+        await upstream.receive()
