--- /dev/null
+++ b/src/cranberryhold/__main__.py
@@ -0,0 +1,6 @@
+"""Runs the command as ``python -m cranberryhold``."""
+
+from cranberryhold.cli import main
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/cranberryhold/cli.py
@@ -0,0 +1,253 @@
+"""The command ``cranberryhold``."""
+
+import argparse
+import asyncio
+import json
+import os
+import sys
+from collections.abc import Awaitable, Callable, Mapping
+from dataclasses import dataclass
+from importlib.metadata import PackageNotFoundError, version
+
+from cranberryhold.exceptions import CranberryholdError
+from cranberryhold.exit_codes import HELP, ExitCode, exit_code
+from cranberryhold.logs import log_event, setup_logs
+from cranberryhold.manifest_commands import (
+    APPLY_OPTIONS,
+    SHOW_OPTIONS,
+    STATUS_OPTIONS,
+    apply,
+    check,
+    schema,
+    show,
+    status,
+)
+from cranberryhold.options import (
+    VARIABLE_PREFIX,
+    Option,
+    add_options,
+    as_switch,
+    read_options,
+)
+from cranberryhold.settings import (
+    ENTRY_OPTIONS,
+    KEYS,
+    SIDECAR_OPTIONS,
+    as_file,
+    as_fixed_address,
+    as_seconds,
+    entry_settings,
+    sidecar_settings,
+)
+
+Values = Mapping[str, object]
+Run = Callable[[Values], Awaitable[int]]
+
+DUMP_OPTIONS = (
+    Option(
+        "address",
+        "the control address (IPv4:port) of the member",
+        as_fixed_address,
+        required=True,
+        metavar="ADDRESS",
+    ),
+    KEYS,
+    Option(
+        "timeout",
+        "seconds to wait for the answer",
+        as_seconds,
+        default="5",
+        metavar="SECONDS",
+    ),
+)
+CALL_OPTIONS = (
+    Option(
+        "deadline",
+        "seconds for all attempts together; without it 10 s apply",
+        as_seconds,
+        metavar="SECONDS",
+    ),
+    Option(
+        "ca-file",
+        "the PEM file with the authorities to trust; without it the system's are",
+        as_file,
+        metavar="FILE",
+    ),
+    Option("insecure", "accept any certificate", as_switch, default="0"),
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Command:
+    """One command.
+
+    :param name: its words.
+    :param help: what it does.
+    :param run: takes the values of its options and arguments, returns the exit code.
+    :param options: options with an environment variable each.
+    :param arguments: adds further arguments to its parser.
+    """
+
+    name: str
+    help: str
+    run: Run
+    options: tuple[Option, ...] = ()
+    arguments: Callable[[argparse.ArgumentParser], None] = lambda parser: None
+
+
+async def _run_entry(values: Values) -> int:
+    from cranberryhold.daemon import run_entry
+
+    return await run_entry(entry_settings(values)) or ExitCode.DONE
+
+
+async def _run_sidecar(values: Values) -> int:
+    from cranberryhold.daemon import run_sidecar
+
+    return await run_sidecar(sidecar_settings(values)) or ExitCode.DONE
+
+
+async def _run_dump(values: Values) -> int:
+    from cranberryhold.dump import request_dump
+
+    state = await request_dump(values["keys"], values["address"], values["timeout"])
+    print(json.dumps(state, indent=2))
+    return ExitCode.DONE
+
+
+async def _run_call(values: Values) -> int:
+    from cranberryhold.call import run_call
+
+    arguments = dict(values)
+    deadline_s = arguments.pop("deadline")
+    return await run_call(argparse.Namespace(deadline_s=deadline_s, **arguments))
+
+
+async def _run_version(values: Values) -> int:
+    try:
+        print(version("cranberryhold"))
+    except PackageNotFoundError:
+        print("unknown: not installed as a package")
+    return ExitCode.DONE
+
+
+def _file_argument(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument("file", help="manifest in YAML; - reads standard input")
+
+
+def _call_arguments(parser: argparse.ArgumentParser) -> None:
+    add = parser.add_argument
+    add("url", help="https://host:port/path")
+    add("--method", help="HTTP method (default POST with a body, GET without)")
+    add("--data", metavar="TEXT", help="text to send as the body")
+    add("--upload", metavar="FILE", help="file to send as the body, with a bar")
+    add(
+        "--header",
+        dest="headers",
+        action="append",
+        default=[],
+        metavar="'NAME: VALUE'",
+        help="further header; may be given several times",
+    )
+    add(
+        "--idempotency-key",
+        metavar="KEY",
+        help="key of the item to submit; use the same one for every attempt",
+    )
+    add(
+        "--at-most-once",
+        action="store_true",
+        help="get an idempotency key first if none is given, and show it",
+    )
+    add("--output", metavar="FILE", help="file for the body of the answer")
+    add("--follow", action="store_true", help="print the lines of a feed")
+
+
+COMMANDS = (
+    Command("entry", "run an entry instance", _run_entry, ENTRY_OPTIONS),
+    Command("sidecar", "run the sidecar of an upstream", _run_sidecar, SIDECAR_OPTIONS),
+    Command("manifest check", "check a manifest", check, (), _file_argument),
+    Command(
+        "manifest apply",
+        "put a manifest into effect, or change nothing",
+        apply,
+        APPLY_OPTIONS,
+        _file_argument,
+    ),
+    Command("manifest show", "print the accepted manifest", show, SHOW_OPTIONS),
+    Command(
+        "manifest status",
+        "show the generation that members have in force",
+        status,
+        STATUS_OPTIONS,
+    ),
+    Command("manifest schema", "print the JSON Schema of a manifest", schema),
+    Command("dump", "print the state of a member as JSON", _run_dump, DUMP_OPTIONS),
+    Command("call", "send one request", _run_call, CALL_OPTIONS, _call_arguments),
+    Command("version", "print the version", _run_version),
+)
+
+
+def build_parser() -> argparse.ArgumentParser:
+    """Return the parser of all commands."""
+    parser = argparse.ArgumentParser(
+        prog="cranberryhold",
+        description="Layer-4 load balancer for QUIC services.",
+        epilog=HELP,
+        allow_abbrev=False,
+    )
+    groups = {"": parser.add_subparsers(required=True, metavar="COMMAND")}
+    for command in COMMANDS:
+        group, _, word = command.name.rpartition(" ")
+        if group not in groups:
+            group_parser = groups[""].add_parser(
+                group, help=f"check, apply and inspect the {group}", epilog=HELP
+            )
+            groups[group] = group_parser.add_subparsers(
+                required=True, metavar="COMMAND"
+            )
+        subparser = groups[group].add_parser(
+            word,
+            help=command.help,
+            description=f"{command.help[0].upper()}{command.help[1:]}.",
+            epilog=f"A flag goes before its environment variable. {HELP}",
+            allow_abbrev=False,
+        )
+        add_options(subparser, command.options)
+        command.arguments(subparser)
+        subparser.set_defaults(command=command)
+    return parser
+
+
+async def execute(arguments: list[str], environment: Mapping[str, str]) -> int:
+    """Run one command and return its exit code.
+
+    :raises SystemExit: after ``--help`` or arguments that can't be parsed.
+    """
+    parsed = vars(build_parser().parse_args(arguments))
+    command: Command = parsed.pop("command")
+    try:
+        values = parsed | read_options(parsed, environment, command.options)
+        setup_logs(values.get("log_level", "WARNING"))
+        _warn_of_unknown_variables(environment)
+        return int(await command.run(values))
+    except CranberryholdError as error:
+        print(f"cranberryhold {command.name}: {error}", file=sys.stderr)
+        return exit_code(error)
+
+
+def _warn_of_unknown_variables(environment: Mapping[str, str]) -> None:
+    """Log variables that are probably misspelt, so that their default applies."""
+    known = {option.variable for command in COMMANDS for option in command.options}
+    for name in sorted(environment):
+        if name.startswith(VARIABLE_PREFIX) and name not in known:
+            log_event("unknown-variable", level="WARNING", name=name)
+
+
+def main() -> None:
+    """Run the command line of this process."""
+    try:
+        code = asyncio.run(execute(sys.argv[1:], os.environ))
+    except KeyboardInterrupt:
+        code = ExitCode.FAILED
+    sys.exit(code)
--- /dev/null
+++ b/src/cranberryhold/exit_codes.py
@@ -0,0 +1,53 @@
+"""Exit codes of the commands."""
+
+from enum import IntEnum
+
+from cranberryhold.exceptions import (
+    AddressError,
+    ConflictError,
+    CranberryholdError,
+    KeyRingError,
+    NotRunError,
+    OutcomeUnknownError,
+    PeerError,
+    SettingsError,
+    StoreError,
+    StoreOutcomeUnknownError,
+)
+
+
+class ExitCode(IntEnum):
+    """What a command's exit code says."""
+
+    DONE = 0
+    FAILED = 1
+    USAGE = 2
+    CONFLICT = 3
+    NOT_REACHED = 4
+    NOT_RUN = 5
+    OUTCOME_UNKNOWN = 6
+
+
+_BY_ERROR: tuple[tuple[type[CranberryholdError], ExitCode], ...] = (
+    (SettingsError, ExitCode.USAGE),
+    (AddressError, ExitCode.USAGE),
+    (KeyRingError, ExitCode.USAGE),
+    (ConflictError, ExitCode.CONFLICT),
+    (StoreOutcomeUnknownError, ExitCode.OUTCOME_UNKNOWN),
+    (OutcomeUnknownError, ExitCode.OUTCOME_UNKNOWN),
+    (NotRunError, ExitCode.NOT_RUN),
+    (StoreError, ExitCode.NOT_REACHED),
+    (PeerError, ExitCode.NOT_REACHED),
+)
+
+HELP = (
+    "exit codes: 0 done, 1 failed, 2 usage, 3 conflict with another writer, 4 store or "
+    "peer not reached, 5 refused and not run, 6 outcome unknown"
+)
+
+
+def exit_code(error: CranberryholdError) -> ExitCode:
+    """Return the exit code of a command that ended with this error."""
+    return next(
+        (c for kind, c in _BY_ERROR if isinstance(error, kind)), ExitCode.FAILED
+    )
--- /dev/null
+++ b/src/cranberryhold/logs.py
@@ -0,0 +1,92 @@
+"""Logs: one line of key=value pairs for each event.
+
+The first pairs of a line are ``time`` (UTC), ``level``, ``module`` and ``event``.
+A value with spaces, quotes, equals signs or control characters is written as a
+JSON string.
+"""
+
+import json
+import sys
+from datetime import UTC
+from pathlib import Path
+from typing import Any, TextIO
+
+from loguru import logger
+
+_EVENT = "event="
+
+
+def setup_logs(level: str = "INFO", stream: TextIO | None = None) -> None:
+    """Write all events of this level and above, and nothing else, to a stream.
+
+    :param stream: where to write; None for standard error.
+    """
+    logger.remove()
+    logger.add(
+        stream or sys.stderr,
+        level=level,
+        format=_format,
+        colorize=False,
+        backtrace=False,
+        diagnose=False,
+    )
+
+
+def log_event(event: str, /, *, level: str = "INFO", **fields: object) -> None:
+    """Log an event.
+
+    >>> log_event("member-down", node="entry-3", zone="lalitpur", level="WARNING")
+
+    :param event: name of the event, words joined by dashes.
+    :param fields: further pairs of the line.
+    """
+    pairs = format_pairs({"event": event, **fields})
+    logger.opt(depth=1).log(level, "{}", pairs)
+
+
+def format_pairs(fields: dict[str, object]) -> str:
+    """Return ``key=value key=value``."""
+    return " ".join(f"{key}={_quoted(value)}" for key, value in fields.items())
+
+
+def _quoted(value: object) -> str:
+    if value is None or isinstance(value, bool):
+        return json.dumps(value)
+    text = str(value)
+    if text and text.isprintable() and not any(c in text for c in " \"'=\\"):
+        return text
+    return json.dumps(text, ensure_ascii=not text.isprintable())
+
+
+def _format(record: dict[str, Any]) -> str:
+    """Build the line; loguru then fills in the template that is returned."""
+    time = record["time"].astimezone(UTC).isoformat(timespec="milliseconds")
+    head = {
+        "time": time.replace("+00:00", "Z"),
+        "level": record["level"].name.lower(),
+        "module": record["name"],
+    }
+    message = record["message"]
+    if message.startswith(_EVENT) and message.isprintable():
+        tail = message
+    else:
+        tail = format_pairs({"event": "message", "text": message})
+    if record["exception"] is not None:
+        tail += " " + format_pairs(_exception_fields(record["exception"]))
+    record["extra"]["line"] = f"{format_pairs(head)} {tail}"
+    return "{extra[line]}\n"
+
+
+def _exception_fields(exception: Any) -> dict[str, object]:
+    """Describe an exception in one line: its type, message and innermost frames."""
+    frames = []
+    trace = exception.traceback
+    while trace is not None:
+        frames.append(
+            f"{Path(trace.tb_frame.f_code.co_filename).name}:{trace.tb_lineno}"
+        )
+        trace = trace.tb_next
+    return {
+        "error": f"{exception.type.__name__}: {exception.value}",
+        "trace": ">".join(frames[-8:]),
+    }
--- /dev/null
+++ b/src/cranberryhold/manifest_commands.py
@@ -0,0 +1,181 @@
+"""The commands ``cranberryhold manifest``."""
+
+import asyncio
+import json
+import sys
+import time
+import uuid
+from collections.abc import Mapping
+from pathlib import Path
+
+import yaml
+
+from cranberryhold.apply import apply_manifest, read_accepted
+from cranberryhold.consul import ConsulStore
+from cranberryhold.distribution import query_status
+from cranberryhold.exceptions import SettingsError
+from cranberryhold.exit_codes import ExitCode
+from cranberryhold.logs import format_pairs
+from cranberryhold.manifest import Manifest
+from cranberryhold.manifest_text import format_errors, load_manifest, manifest_schema
+from cranberryhold.options import Option
+from cranberryhold.settings import (
+    KEYS,
+    STORE_URL,
+    as_addresses,
+    as_count,
+    as_name,
+    as_seconds,
+)
+
+Values = Mapping[str, object]
+
+SHOW_OPTIONS = (STORE_URL,)
+APPLY_OPTIONS = (
+    STORE_URL,
+    Option(
+        "submission-id",
+        "the name of this submission, such as the id of a pipeline run; a repeat with "
+        "the same name changes nothing; without it a random one is used",
+        as_name,
+    ),
+    Option(
+        "expected-generation",
+        "the generation that must be in effect, else nothing changes; 0 if nothing was "
+        "accepted yet",
+        as_count,
+        metavar="NUMBER",
+    ),
+    Option(
+        "above-generation",
+        "a generation that the new one has to exceed, for a store that went back to "
+        "an older snapshot than the members have",
+        as_count,
+        default="0",
+        metavar="NUMBER",
+    ),
+)
+STATUS_OPTIONS = (
+    Option(
+        "contacts",
+        "the control addresses of the members to ask, separated by commas",
+        as_addresses,
+        required=True,
+        metavar="ADDRESSES",
+    ),
+    KEYS,
+    Option(
+        "generation",
+        "the generation that all have to have in force, else the command fails",
+        as_count,
+        default="0",
+        metavar="NUMBER",
+    ),
+    Option(
+        "timeout",
+        "seconds to wait for answers",
+        as_seconds,
+        default="2",
+        metavar="SECONDS",
+    ),
+)
+
+
+async def check(values: Values) -> int:
+    """Check a manifest and print each error with its line and key."""
+    manifest = await _load(values["file"])
+    if manifest is None:
+        return ExitCode.FAILED
+    print(format_pairs({"file": values["file"], "services": len(manifest.services)}))
+    return ExitCode.DONE
+
+
+async def apply(values: Values) -> int:
+    """Submit a manifest and print the generation that it got."""
+    manifest = await _load(values["file"])
+    if manifest is None:
+        return ExitCode.FAILED
+    submission_id = values["submission_id"] or str(uuid.uuid4())
+    # Whoever repeats the command after a lost answer needs the id.
+    print(format_pairs({"submission_id": submission_id}), flush=True)
+    async with ConsulStore.open(values["store_url"]) as store:
+        outcome = await apply_manifest(
+            store,
+            manifest,
+            submission_id,
+            time.time(),
+            expected_generation=values["expected_generation"],
+            above_generation=values["above_generation"],
+        )
+    if outcome.is_error():
+        raise outcome.error
+    print(format_pairs({"generation": outcome.ok.generation}))
+    return ExitCode.DONE
+
+
+async def show(values: Values) -> int:
+    """Print the accepted manifest as YAML, its generation as a comment."""
+    async with ConsulStore.open(values["store_url"]) as store:
+        accepted = await read_accepted(store)
+    if accepted is None:
+        print("cranberryhold manifest show: none was accepted yet", file=sys.stderr)
+        return ExitCode.FAILED
+    head = {
+        "generation": accepted.generation,
+        "submission_id": accepted.submission_id,
+    }
+    print(f"# {format_pairs(head)}")
+    data = accepted.manifest.model_dump(mode="json")
+    print(yaml.safe_dump(data, sort_keys=False), end="")
+    return ExitCode.DONE
+
+
+async def status(values: Values) -> int:
+    """Print the generation in force at each member, one line each."""
+    addresses = list(values["contacts"])
+    answers = await query_status(values["keys"], addresses, values["timeout"])
+    code = ExitCode.DONE
+    for address, answer in answers.items():
+        if answer is None:
+            code = ExitCode.NOT_REACHED
+            print(format_pairs({"address": address, "state": "not-reached"}))
+            continue
+        heartbeat = answer.heartbeat
+        if heartbeat.generation < values["generation"] and code is ExitCode.DONE:
+            code = ExitCode.FAILED
+        age_s = heartbeat.store_age_s
+        fields = {
+            "address": address,
+            "node": answer.node_id,
+            "generation": heartbeat.generation,
+            "store_age_s": age_s if age_s >= 0 else None,
+        }
+        print(format_pairs(fields))
+    return code
+
+
+async def schema(values: Values) -> int:
+    """Print the JSON Schema of a manifest."""
+    print(json.dumps(manifest_schema(), indent=2))
+    return ExitCode.DONE
+
+
+async def _load(source: str) -> Manifest | None:
+    """Read a manifest; print its errors and return None if it is refused."""
+    try:
+        text = await asyncio.to_thread(_read_text, source)
+    except (OSError, UnicodeDecodeError) as error:
+        raise SettingsError(
+            f"the manifest {source!r} can't be read: {error}; name a readable UTF-8 "
+            "file or -",
+            step="read manifest",
+        ) from error
+    result = load_manifest(text)
+    if result.is_error():
+        print(format_errors(result.error, source), file=sys.stderr)
+        return None
+    return result.ok
+
+
+def _read_text(source: str) -> str:
+    return sys.stdin.read() if source == "-" else Path(source).read_text("utf-8")
--- a/src/cranberryhold/settings.py
+++ b/src/cranberryhold/settings.py
@@ -1,9 +1,18 @@
 """Settings of the daemons, from flags and environment variables."""
 
+import math
+import re
+from collections.abc import Mapping
 from dataclasses import dataclass
+from pathlib import Path
+from urllib.parse import urlsplit
 
 from cranberryhold.addresses import Address
 from cranberryhold.keys import KeyRing
+from cranberryhold.options import Option
+
+LOG_LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
+_NAME = re.compile(r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$")
 
 
 @dataclass(frozen=True, slots=True)
@@ -22,6 +31,7 @@
     :param statsd: address of the statsd daemon, or None.
     :param drain_limit_s: seconds after which a graceful shutdown is cut short; None
         leaves it to the manifest.
+    :param log_level: lowest level that is logged.
     """
 
     node_id: str
@@ -33,6 +43,7 @@
     store_url: str = ""
     statsd: Address | None = None
     drain_limit_s: float | None = None
+    log_level: str = "INFO"
 
 
 @dataclass(frozen=True, slots=True)
@@ -70,3 +81,223 @@
     certificate_path: str
     private_key_path: str
     health_path: str = "/health"
+
+
+def as_name(text: str) -> str:
+    """Read the name of an instance, zone, region or service."""
+    if not _NAME.match(text):
+        raise ValueError(
+            "write 1 to 63 letters, digits, dots, dashes or underscores, "
+            "a letter or digit first"
+        )
+    return text
+
+
+def as_own_address(text: str) -> Address:
+    """Read an address under which others reach this process."""
+    address = Address.parse(text)
+    if address.ip == "0.0.0.0":
+        raise ValueError("others send to this address: name one IPv4 number")
+    return address
+
+
+def as_fixed_address(text: str) -> Address:
+    """Read an address with a port that is known beforehand."""
+    address = as_own_address(text)
+    if address.port == 0:
+        raise ValueError("write a port from 1 to 65535")
+    return address
+
+
+def as_addresses(text: str) -> tuple[Address, ...]:
+    """Read addresses that are separated by commas."""
+    return tuple(Address.parse(t.strip()) for t in text.split(",") if t.strip())
+
+
+def as_seconds(text: str) -> float:
+    """Read a positive number of seconds."""
+    try:
+        seconds = float(text)
+    except ValueError:
+        seconds = math.nan
+    if not 0 < seconds < math.inf:
+        raise ValueError("write a number of seconds above 0, such as 2.5")
+    return seconds
+
+
+def as_count(text: str) -> int:
+    """Read a whole number of 0 or more."""
+    if not text.isdecimal():
+        raise ValueError("write a whole number of 0 or more")
+    return int(text)
+
+
+def as_url(text: str) -> str:
+    """Read the base URL of an HTTP service."""
+    parts = urlsplit(text)
+    if parts.scheme not in ("http", "https") or not parts.hostname or parts.port == 0:
+        raise ValueError("write a URL such as http://127.0.0.1:8500")
+    return text
+
+
+def as_file(text: str) -> str:
+    """Read the path of a file that exists."""
+    if not Path(text).is_file():
+        raise ValueError("no such file: name a file that this process can read")
+    return text
+
+
+def as_log_level(text: str) -> str:
+    """Read a log level."""
+    if text.upper() not in LOG_LEVELS:
+        raise ValueError(f"write one of {', '.join(LOG_LEVELS)}")
+    return text.upper()
+
+
+def as_ip(text: str) -> str:
+    """Read an IPv4 number, or nothing."""
+    if not text:
+        return text
+    return Address.parse(f"{text}:0").ip
+
+
+def _fixed_address(name: str, help: str) -> Option:
+    return Option(name, help, as_fixed_address, required=True, metavar="ADDRESS")
+
+
+def _file(name: str, help: str) -> Option:
+    return Option(name, help, as_file, required=True, metavar="FILE")
+
+
+KEYS = Option(
+    "keys",
+    "the key ring as id:secret,id:secret, ids 0 to 255 and secrets of 64 hex digits; "
+    "better as a variable, since flags show in process lists",
+    KeyRing.parse,
+    required=True,
+    metavar="RING",
+    secret=True,
+)
+STORE_URL = Option(
+    "store-url",
+    "the base URL of the platform's key-value service",
+    as_url,
+    required=True,
+    metavar="URL",
+)
+LOG_LEVEL = Option(
+    "log-level",
+    f"the lowest level that is logged: {', '.join(LOG_LEVELS)}",
+    as_log_level,
+    default="INFO",
+    metavar="LEVEL",
+)
+NODE_OPTIONS = (
+    Option("node-id", "the unique name of this instance", as_name, required=True),
+    Option("zone", "the zone (data centre) of this instance", as_name, required=True),
+    Option("region", "the region of the zone", as_name, required=True),
+    Option(
+        "control-address",
+        "the IPv4:port for control datagrams (UDP) and calls (TCP)",
+        as_own_address,
+        required=True,
+        metavar="ADDRESS",
+    ),
+    Option(
+        "contacts",
+        "control addresses of any members, separated by commas",
+        as_addresses,
+        default="",
+        metavar="ADDRESSES",
+    ),
+    KEYS,
+    Option(
+        "statsd",
+        "the IPv4:port of the statsd daemon; without it no metrics are sent",
+        Address.parse,
+        metavar="ADDRESS",
+    ),
+    LOG_LEVEL,
+)
+ENTRY_OPTIONS = (
+    *NODE_OPTIONS,
+    Option(
+        "store-url",
+        "the base URL of the platform's key-value service; without it this instance "
+        "learns the manifest from other members alone",
+        as_url,
+        metavar="URL",
+    ),
+    _fixed_address(
+        "forward-address", "the IPv4:port (UDP) where replies of sidecars arrive"
+    ),
+    Option(
+        "listen-address",
+        "the IPv4 number that replaces the one of every service address, where the "
+        "fabric rewrites destinations",
+        as_ip,
+        default="",
+        metavar="IPV4",
+    ),
+)
+SIDECAR_OPTIONS = (
+    *NODE_OPTIONS,
+    Option("service", "the service, as in the manifest", as_name, required=True),
+    _fixed_address(
+        "forward-address", "the IPv4:port (UDP) where forwarded packets arrive"
+    ),
+    _fixed_address("upstream", "the IPv4:port of the upstream's HTTP/1.1 server"),
+    _file("certificate", "the PEM file with the certificate chain"),
+    _file("private-key", "the PEM file with the certificate's private key"),
+    Option(
+        "health-path",
+        "the path of the upstream's health endpoint; empty for none",
+        default="/health",
+        metavar="PATH",
+    ),
+    Option(
+        "drain-limit",
+        "seconds after which a graceful shutdown is cut short; without it the "
+        "manifest's limit applies",
+        as_seconds,
+        metavar="SECONDS",
+    ),
+)
+
+
+def node_settings(values: Mapping[str, object]) -> NodeSettings:
+    """Build the settings of a node from the values of its options."""
+    return NodeSettings(
+        node_id=values["node_id"],
+        zone=values["zone"],
+        region=values["region"],
+        control_address=values["control_address"],
+        contacts=values["contacts"],
+        keys=values["keys"],
+        store_url=values.get("store_url") or "",
+        statsd=values["statsd"],
+        drain_limit_s=values.get("drain_limit"),
+        log_level=values["log_level"],
+    )
+
+
+def entry_settings(values: Mapping[str, object]) -> EntrySettings:
+    """Build the settings of an entry instance from the values of its options."""
+    return EntrySettings(
+        node=node_settings(values),
+        forward_address=values["forward_address"],
+        listen_ip=values["listen_address"],
+    )
+
+
+def sidecar_settings(values: Mapping[str, object]) -> SidecarSettings:
+    """Build the settings of a sidecar from the values of its options."""
+    return SidecarSettings(
+        node=node_settings(values),
+        service=values["service"],
+        forward_address=values["forward_address"],
+        upstream=values["upstream"],
+        certificate_path=values["certificate"],
+        private_key_path=values["private_key"],
+        health_path=values["health_path"],
+    )
--- /dev/null
+++ b/tests/test_cli.py
@@ -0,0 +1,251 @@
+"""Command line: help, precedence, exit codes and the manifest commands.
+
+Guards against an exit code that lets a pipeline take a conflict or an unknown
+outcome for success, and against options that the help does not describe.
+"""
+
+import io
+import json
+import re
+from collections.abc import AsyncIterator
+from pathlib import Path
+
+import pytest
+import yaml
+
+from cranberryhold.addresses import Address
+from cranberryhold.apply import read_accepted
+from cranberryhold.cli import COMMANDS, Command, execute
+from cranberryhold.exceptions import (
+    ConflictError,
+    CranberryholdError,
+    ManifestError,
+    NotRunError,
+    OutcomeUnknownError,
+    PeerError,
+    StoreError,
+    StoreOutcomeUnknownError,
+)
+from cranberryhold.keys import KeyRing
+from cranberryhold.members import Role
+from cranberryhold.node import running_node
+from cranberryhold.settings import EntrySettings, NodeSettings, SidecarSettings
+from emulator.key_values import KeyValues, MemoryStore
+from emulator.platform import Platform
+from tests.environments import ENTRY, RING
+
+EXAMPLES = Path(__file__).parent.parent / "examples"
+HIMAL = str(EXAMPLES / "himal-byanjan.yaml")
+GEBEYA = str(EXAMPLES / "gebeya-herdcount.yaml")
+
+
+@pytest.fixture
+def key_values() -> KeyValues:
+    return KeyValues()
+
+
+@pytest.fixture
+async def store(key_values: KeyValues) -> AsyncIterator[dict[str, str]]:
+    """Yield the environment that names a running stand-in of the store."""
+    async with Platform(key_values).serve(Address("127.0.0.1", 0)) as address:
+        yield {"CRANBERRYHOLD_STORE_URL": f"http://{address}"}
+
+
+@pytest.mark.parametrize("command", COMMANDS, ids=lambda c: c.name)
+async def test_help_names_each_flag_variable_and_the_exit_codes(
+    command: Command, capsys: pytest.CaptureFixture[str]
+) -> None:
+    with pytest.raises(SystemExit) as caught:
+        await execute([*command.name.split(), "--help"], {})
+    assert caught.value.code == 0
+    text = re.sub(r"\s+", "", capsys.readouterr().out)
+    for option in command.options:
+        assert option.flag in text
+        assert option.variable in text
+    assert "3conflict" in text
+
+
+@pytest.mark.parametrize(
+    "arguments", [[], ["nothing"], ["manifest"], ["entry", "--nope"], ["version", "x"]]
+)
+async def test_unknown_words_are_a_usage_error(arguments: list[str]) -> None:
+    with pytest.raises(SystemExit) as caught:
+        await execute(arguments, {})
+    assert caught.value.code == 2
+
+
+@pytest.mark.parametrize(
+    "words", [c.name.split() for c in COMMANDS if any(o.required for o in c.options)]
+)
+async def test_missing_settings_are_a_usage_error(
+    words: list[str], capsys: pytest.CaptureFixture[str]
+) -> None:
+    file = [HIMAL] if words[-1] == "apply" else []
+    assert await execute([*words, *file], {}) == 2
+    assert "is not set: give it or set CRANBERRYHOLD_" in capsys.readouterr().err
+
+
+async def test_entry_takes_flags_before_variables(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    started: list[EntrySettings] = []
+
+    async def run_entry(settings: EntrySettings) -> int:
+        started.append(settings)
+        return 0
+
+    monkeypatch.setattr("cranberryhold.daemon.run_entry", run_entry)
+    assert await execute(["entry", "--zone", "bhaktapur"], ENTRY) == 0
+    assert started[0].node.zone == "bhaktapur"
+    assert started[0].node.node_id == "entry-1"
+
+
+async def test_sidecar_passes_on_its_settings_and_exit_code(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    started: list[SidecarSettings] = []
+
+    async def run_sidecar(settings: SidecarSettings) -> int:
+        started.append(settings)
+        return 1
+
+    monkeypatch.setattr("cranberryhold.daemon.run_sidecar", run_sidecar)
+    flags = "--service khata-core --upstream 127.0.0.1:8000 --drain-limit 2.5"
+    files = ["--certificate", HIMAL, "--private-key", GEBEYA]
+    assert await execute(["sidecar", *flags.split(), *files], ENTRY) == 1
+    assert started[0].service == "khata-core"
+    assert started[0].node.drain_limit_s == 2.5
+    assert started[0].private_key_path == GEBEYA
+
+
+@pytest.mark.parametrize(
+    ("error", "code"),
+    [
+        (CranberryholdError("x"), 1),
+        (ManifestError("x"), 1),
+        (ConflictError("x"), 3),
+        (StoreError("x"), 4),
+        (PeerError("x"), 4),
+        (NotRunError("x"), 5),
+        (OutcomeUnknownError("x"), 6),
+        (StoreOutcomeUnknownError("x"), 6),
+    ],
+    ids=lambda value: type(value).__name__,
+)
+async def test_exit_code_tells_what_failed(
+    error: CranberryholdError, code: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def run_entry(settings: EntrySettings) -> int:
+        raise error
+
+    monkeypatch.setattr("cranberryhold.daemon.run_entry", run_entry)
+    assert await execute(["entry"], ENTRY) == code
+
+
+async def test_misspelt_variable_is_reported(
+    monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
+) -> None:
+    await execute(["version"], {"CRANBERRYHOLD_ZONES": "x", "CRANBERRYHOLD_ZONE": "y"})
+    errors = capsys.readouterr().err
+    assert "event=unknown-variable name=CRANBERRYHOLD_ZONES\n" in errors
+    assert "name=CRANBERRYHOLD_ZONE\n" not in errors
+
+
+async def test_check_prints_each_error_with_line_and_key(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    assert await execute(["manifest", "check", HIMAL], {}) == 0
+    bad = tmp_path / "bad.yaml"
+    bad.write_text("services:\n  - nam: x\n")
+    assert await execute(["manifest", "check", str(bad)], {}) == 1
+    assert f"{bad}:2: services.0.nam: unknown key" in capsys.readouterr().err
+
+
+async def test_manifest_that_cannot_be_read_is_a_usage_error(tmp_path: Path) -> None:
+    assert await execute(["manifest", "check", str(tmp_path / "none")], {}) == 2
+
+
+async def test_manifest_is_read_from_standard_input(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr("sys.stdin", io.StringIO("services: 3"))
+    assert await execute(["manifest", "check", "-"], {}) == 1
+
+
+async def test_apply_then_show_gives_the_manifest_back(
+    store: dict[str, str], capsys: pytest.CaptureFixture[str]
+) -> None:
+    apply = ["manifest", "apply", HIMAL, "--submission-id", "run-7"]
+    assert await execute(["manifest", "show"], store) == 1
+    assert await execute(apply, store) == 0
+    assert await execute(apply, store) == 0
+    assert capsys.readouterr().out == "submission_id=run-7\ngeneration=1\n" * 2
+    assert await execute(["manifest", "show"], store) == 0
+    shown = capsys.readouterr().out
+    assert shown.startswith("# generation=1 submission_id=run-7\n")
+    names = [s["name"] for s in yaml.safe_load(shown)["services"]]
+    assert names == ["khata-core", "bill-intake"]
+
+
+async def test_refused_manifest_leaves_the_accepted_one(
+    store: dict[str, str], key_values: KeyValues, tmp_path: Path
+) -> None:
+    assert await execute(["manifest", "apply", HIMAL], store) == 0
+    bad = tmp_path / "bad.yaml"
+    bad.write_text("services: [{name: khata-core, address: 127.0.0.1:1}]")
+    calls = key_values.calls.total
+    assert await execute(["manifest", "apply", str(bad)], store) == 1
+    assert key_values.calls.total == calls
+    accepted = await read_accepted(MemoryStore(key_values))
+    assert accepted
+    assert accepted.generation == 1
+
+
+async def test_conflict_names_the_generation_that_came_first(
+    store: dict[str, str], capsys: pytest.CaptureFixture[str]
+) -> None:
+    apply = ["manifest", "apply", "--expected-generation", "0"]
+    assert await execute([*apply, HIMAL], store) == 0
+    assert await execute([*apply, GEBEYA], store) == 3
+    assert "generation 1 (submission" in capsys.readouterr().err
+
+
+async def test_store_that_is_down_has_its_own_exit_code(
+    store: dict[str, str], key_values: KeyValues
+) -> None:
+    key_values.set_down(True)
+    assert await execute(["manifest", "apply", HIMAL], store) == 4
+    assert await execute(["manifest", "show"], store) == 4
+
+
+async def test_lost_answer_is_resolved_by_the_command(
+    store: dict[str, str], key_values: KeyValues
+) -> None:
+    key_values.faults.lose_answers = 1
+    assert await execute(["manifest", "apply", HIMAL], store) == 0
+    assert key_values.calls.writes == 1
+
+
+async def test_status_and_dump_ask_a_running_member(
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    any_port = Address("127.0.0.1", 0)
+    settings = NodeSettings(
+        "entry-1", "lalitpur", "np", any_port, (), KeyRing.parse(RING)
+    )
+    keys = {"CRANBERRYHOLD_KEYS": RING}
+    status = ["manifest", "status", "--timeout", "0.4", "--contacts"]
+    async with running_node(settings, Role.ENTRY, forward_address=any_port) as node:
+        address = str(node.me.control_address)
+        assert await execute([*status, address], keys) == 0
+        line = f"address={address} node=entry-1 generation=0 store_age_s=null\n"
+        assert capsys.readouterr().out == line
+        assert await execute([*status, address, "--generation", "1"], keys) == 1
+    assert await execute([*status, address], keys) == 4
+    dump = ["dump", "--timeout", "0.2", "--address", address]
+    assert await execute(dump, keys) == 4
+
+
+async def test_schema_is_json(capsys: pytest.CaptureFixture[str]) -> None:
+    assert await execute(["manifest", "schema"], {}) == 0
+    assert json.loads(capsys.readouterr().out)["title"] == "Manifest"
