Add the command call

A script has to know whether it may repeat a call, so the exit code tells refused (5), unknown (6) and not reached (4) apart. --at-most-once shows its key on standard error before the request, since whoever repeats the call needs it. A feed is printed line by line; an upload shows its progress on a terminal only.

--- /dev/null
+++ b/src/cranberryhold/call.py
@@ -0,0 +1,195 @@
+"""The command ``cranberryhold call``: one request from the command line."""
+
+import asyncio
+import sys
+from collections.abc import AsyncIterator
+from contextlib import aclosing
+from dataclasses import dataclass
+from enum import IntEnum
+from pathlib import Path
+from urllib.parse import urlsplit
+
+from tqdm import tqdm
+
+from cranberryhold.caller import DEFAULT_DEADLINE_S, Answer, Body, Caller
+from cranberryhold.exceptions import (
+    AddressError,
+    CranberryholdError,
+    NotRunError,
+    OutcomeUnknownError,
+    SettingsError,
+)
+from cranberryhold.exchange import IDEMPOTENCY_HEADER, Headers
+
+_CHUNK_BYTES = 64 * 1024
+
+
+class CallExit(IntEnum):
+    """Exit codes of the command."""
+
+    DONE = 0
+    FAILED = 1
+    USAGE = 2
+    NOT_REACHED = 4
+    NOT_RUN = 5
+    OUTCOME_UNKNOWN = 6
+
+
+@dataclass(frozen=True, slots=True)
+class CallOptions:
+    """Options of the command; a parsed command line with the same names will do.
+
+    :param url: ``https://host:port/path``.
+    :param method: HTTP method; None for POST with a body, GET without.
+    :param data: body, or None.
+    :param upload: path of a file to send as the body, or None.
+    :param headers: further headers as ``name: value``.
+    :param deadline_s: seconds for all attempts together.
+    :param idempotency_key: key to use for the request, or None.
+    :param at_most_once: get a key first if none is given, and show it.
+    :param insecure: accept any certificate.
+    :param ca_file: PEM file with the authorities to trust.
+    :param output: file for the answer's body; None for standard output.
+    :param follow: print the lines of a feed until it ends.
+    """
+
+    url: str
+    method: str | None = None
+    data: str | None = None
+    upload: str | None = None
+    headers: tuple[str, ...] = ()
+    deadline_s: float | None = None
+    idempotency_key: str | None = None
+    at_most_once: bool = False
+    insecure: bool = False
+    ca_file: str | None = None
+    output: str | None = None
+    follow: bool = False
+
+
+async def run_call(options: CallOptions) -> int:
+    """Send the request, print the answer and return the exit code."""
+    try:
+        _check(options)
+        async with Caller.connect(
+            options.url, ca_file=options.ca_file, insecure=options.insecure
+        ) as caller:
+            if getattr(options, "follow", False):
+                await _follow(caller, options)
+                return CallExit.DONE
+            answer = await _send(caller, options)
+        await asyncio.to_thread(_write, options.output, answer.body)
+        if answer.status < 400:
+            return CallExit.DONE
+        return _report(CallExit.FAILED, f"the service answered status {answer.status}")
+    except CranberryholdError as error:
+        return _report(_exit_code(error), error)
+    except OSError as error:
+        return _report(CallExit.FAILED, error)
+
+
+def _check(options: CallOptions) -> None:
+    if options.data is not None and options.upload is not None:
+        raise _usage("--data and --upload exclude each other: choose one")
+    if options.upload is not None and not Path(options.upload).is_file():
+        raise _usage(f"--upload {options.upload!r} is not a file: name one")
+    if options.ca_file is not None and not Path(options.ca_file).is_file():
+        raise _usage(f"--ca-file {options.ca_file!r} is not a file: name one")
+    _headers(options)
+
+
+async def _send(caller: Caller, options: CallOptions) -> Answer:
+    key = options.idempotency_key
+    if options.at_most_once and key is None:
+        key = await caller.new_idempotency_key()
+        # Whoever repeats the call after a lost answer needs this key.
+        print(f"{IDEMPOTENCY_HEADER}: {key}", file=sys.stderr, flush=True)
+    has_body = options.data is not None or options.upload is not None
+    with _progress_bar(options) as bar:
+        headers, body = _content(options, bar)
+        return await caller.request(
+            options.method or ("POST" if has_body else "GET"),
+            _path(options.url),
+            headers=headers,
+            body=body,
+            deadline_s=options.deadline_s or DEFAULT_DEADLINE_S,
+            idempotency_key=key,
+        )
+
+
+async def _follow(caller: Caller, options: CallOptions) -> None:
+    lines = caller.feed(_path(options.url), headers=_headers(options))
+    async with aclosing(lines):
+        async for line in lines:
+            await asyncio.to_thread(_write, None, line + b"\n")
+
+
+def _progress_bar(options: CallOptions) -> tqdm:
+    return tqdm(
+        total=0 if options.upload is None else Path(options.upload).stat().st_size,
+        unit="B",
+        unit_scale=True,
+        desc="upload",
+        disable=options.upload is None or not sys.stderr.isatty(),
+    )
+
+
+def _content(options: CallOptions, bar: tqdm) -> tuple[Headers, Body]:
+    """Return the headers and the body, which is read anew for each attempt."""
+    headers = _headers(options)
+    if options.upload is None:
+        return headers, (options.data or "").encode()
+    path = Path(options.upload)
+
+    async def chunks() -> AsyncIterator[bytes]:
+        bar.reset()
+        with await asyncio.to_thread(path.open, "rb") as file:
+            while chunk := await asyncio.to_thread(file.read, _CHUNK_BYTES):
+                yield chunk
+                bar.update(len(chunk))
+
+    return (*headers, ("content-length", str(path.stat().st_size))), chunks
+
+
+def _headers(options: CallOptions) -> Headers:
+    pairs = [text.partition(":") for text in options.headers or ()]
+    for name, colon, _ in pairs:
+        if not colon or not name.strip():
+            raise _usage(f"--header {name!r} has no value: write 'name: value'")
+    return tuple((name.strip().lower(), value.strip()) for name, _, value in pairs)
+
+
+def _path(url: str) -> str:
+    parts = urlsplit(url)
+    return (parts.path or "/") + (f"?{parts.query}" if parts.query else "")
+
+
+def _write(output: str | None, data: bytes) -> None:
+    if output is not None:
+        Path(output).write_bytes(data)
+    else:
+        sys.stdout.buffer.write(data)
+        sys.stdout.buffer.flush()
+
+
+def _usage(message: str) -> SettingsError:
+    return SettingsError(message, step="read options")
+
+
+def _exit_code(error: CranberryholdError) -> CallExit:
+    match error:
+        case AddressError() | SettingsError():
+            return CallExit.USAGE
+        case NotRunError(step="connect"):
+            return CallExit.NOT_REACHED
+        case NotRunError():
+            return CallExit.NOT_RUN
+        case OutcomeUnknownError():
+            return CallExit.OUTCOME_UNKNOWN
+        case _:
+            return CallExit.FAILED
+
+
+def _report(code: CallExit, error: object) -> int:
+    print(f"cranberryhold call: {error}", file=sys.stderr)
+    return code
--- a/src/cranberryhold/daemon.py
+++ b/src/cranberryhold/daemon.py
@@ -287,4 +287,3 @@
     await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
     for task in tasks:
         task.cancel()
-
--- /dev/null
+++ b/tests/test_call.py
@@ -0,0 +1,110 @@
+"""The command ``call``: its exit code tells a script whether to repeat."""
+
+import hashlib
+import io
+
+import pytest
+from aioquic.h3.connection import ErrorCode
+
+from cranberryhold.call import CallExit, CallOptions, run_call
+from tests.h3_service import h3_service
+
+
+async def answer(incoming):
+    await incoming.ended.wait()
+    match incoming.path:
+        case "/refuse":
+            incoming.answer(503, b"no slot", cranberryhold_outcome="not-run")
+        case "/lose":
+            incoming.reset(ErrorCode.H3_INTERNAL_ERROR)
+        case "/missing":
+            incoming.answer(404, b"not here")
+        case "/feed":
+            incoming.answer(200, b'{"sequence": 1}\n{"sequence": 2}\n')
+        case "/.well-known/cranberryhold/idempotency-key":
+            incoming.answer(200, b"sealed-key")
+        case _:
+            digest = hashlib.sha256(incoming.body).hexdigest()
+            key = incoming.headers.get("idempotency-key", "")
+            method = incoming.headers[":method"]
+            incoming.answer(200, f"{method} {digest} {key}".encode())
+
+
+@pytest.fixture
+async def service(files):
+    async with h3_service(files, answer) as service:
+        yield service
+
+
+@pytest.fixture
+def call(service, files):
+    async def run(path, **options):
+        url = service.url + path
+        return await run_call(
+            CallOptions(url, ca_file=str(files.certificate), **options)
+        )
+
+    return run
+
+
+@pytest.mark.parametrize(
+    ("path", "options", "code"),
+    [
+        ("/", {}, CallExit.DONE),
+        ("/missing", {}, CallExit.FAILED),
+        ("/refuse", {}, CallExit.NOT_RUN),
+        ("/lose", {"method": "POST"}, CallExit.OUTCOME_UNKNOWN),
+        ("/", {"headers": ("no value",)}, CallExit.USAGE),
+        ("/", {"upload": "/no/such/file"}, CallExit.USAGE),
+        ("/", {"upload": "a", "data": "b"}, CallExit.USAGE),
+    ],
+)
+async def test_exit_codes(call, path, options, code):
+    assert await call(path, **options) == code
+
+
+async def test_a_service_that_refuses_the_connection_was_not_reached(service):
+    """The system's authorities do not include the test's certificate."""
+    assert await run_call(CallOptions(service.url)) == CallExit.NOT_REACHED
+
+
+async def test_another_scheme_is_a_usage_error():
+    assert await run_call(CallOptions("http://127.0.0.1:1/")) == CallExit.USAGE
+
+
+async def test_the_answer_goes_to_a_file(call, tmp_path):
+    output = tmp_path / "answer"
+    await call("/", data="line", output=str(output))
+    digest = hashlib.sha256(b"line").hexdigest()
+    assert output.read_text() == f"POST {digest} "
+
+
+async def test_at_most_once_shows_the_key_that_it_uses(call, capsysbinary):
+    await call("/lines", data="x", at_most_once=True)
+    output = capsysbinary.readouterr()
+    assert output.err == b"idempotency-key: sealed-key\n"
+    assert output.out.endswith(b" sealed-key")
+
+
+async def test_an_upload_shows_progress_on_a_terminal_only(
+    call, tmp_path, monkeypatch, capsysbinary
+):
+    class Terminal(io.StringIO):
+        def isatty(self):
+            return True
+
+    photo = tmp_path / "photo"
+    photo.write_bytes(bytes(300_000))
+    assert await call("/upload", upload=str(photo)) == CallExit.DONE
+    assert capsysbinary.readouterr().err == b""
+    terminal = Terminal()
+    monkeypatch.setattr("sys.stderr", terminal)
+    assert await call("/upload", upload=str(photo)) == CallExit.DONE
+    assert "100%" in terminal.getvalue()
+    digest = hashlib.sha256(bytes(300_000)).hexdigest().encode()
+    assert digest in capsysbinary.readouterr().out
+
+
+async def test_a_feed_is_printed_line_by_line(call, capsysbinary):
+    assert await call("/feed", follow=True) == CallExit.DONE
+    assert capsysbinary.readouterr().out == b'{"sequence": 1}\n{"sequence": 2}\n'
