Test the caller library through fabric, entries and sidecars

The parts were tested apart; this runs them in one process: a feed moves off a drained target without a gap, a line whose answer was lost runs once, a cancelled call is cancelled at the upstream.

--- /dev/null
+++ b/tests/test_caller_site.py
@@ -0,0 +1,106 @@
+"""The caller library through fabric, entry instances and sidecars."""
+
+import asyncio
+import hashlib
+import json
+import random
+from contextlib import aclosing
+
+import pytest
+
+from cranberryhold.caller import Caller
+from cranberryhold.exceptions import KeyRequiredError, OutcomeUnknownError
+from cranberryhold.manifest import RetryPolicy
+from emulator.upstream import Behaviour
+from tests.small_site import small_site
+from tests.waiting import until
+
+
+@pytest.fixture
+async def site(files):
+    async with small_site(files) as site:
+        yield site
+
+
+@pytest.fixture
+async def caller(site, files):
+    async with Caller.connect(
+        site.url,
+        ca_file=str(files.certificate),
+        retry=RetryPolicy(backoff_ms=5),
+        rng=random.Random(1),
+    ) as caller:
+        yield caller
+
+
+def line(number):
+    return json.dumps({"id": f"line-{number}"}).encode()
+
+
+async def test_an_upload_arrives_whole(caller):
+    data = random.Random(1).randbytes(700_000)
+    answer = await caller.request("POST", "/upload", body=data, deadline_s=30)
+    assert json.loads(answer.body)["sha256"] == hashlib.sha256(data).hexdigest()
+
+
+async def test_a_lost_answer_never_makes_a_line_run_twice(site, caller):
+    key = await caller.new_idempotency_key()
+    target = site.serving()
+    target.upstream.behaviour = Behaviour(crash_answers=1)
+    with pytest.raises(OutcomeUnknownError):
+        await caller.request(
+            "POST", "/lines", body=line(1), idempotency_key=key, deadline_s=5
+        )
+    assert target.upstream.executions == {"line-1": 1}
+
+
+async def test_a_repeated_line_gets_the_first_answer(site, caller):
+    key = await caller.new_idempotency_key()
+    answers = [
+        await caller.request("POST", "/lines", body=line(1), idempotency_key=key)
+        for _ in range(2)
+    ]
+    assert answers[0].body == answers[1].body
+    assert site.serving().upstream.executions == {"line-1": 1}
+
+
+async def test_a_line_without_a_key_gets_one_and_does_not_run(site, caller):
+    with pytest.raises(KeyRequiredError) as caught:
+        await caller.request("POST", "/lines", body=line(1))
+    assert not site.serving().upstream.executions
+    answer = await caller.request(
+        "POST", "/lines", body=line(1), idempotency_key=caught.value.key
+    )
+    assert answer.status == 200
+
+
+async def test_a_cancelled_call_is_cancelled_at_the_upstream(site, caller):
+    call = asyncio.create_task(caller.request("GET", "/?work_ms=60000", deadline_s=9))
+    await until(lambda: sum(t.upstream.counts["started"] for t in site.targets))
+    call.cancel()
+    upstream = site.serving().upstream
+    await until(lambda: upstream.counts["cancelled"] == 1)
+
+
+async def test_a_drained_target_hands_its_feed_and_requests_over(site, caller):
+    numbers, instances = [], set()
+    draining = None
+    async with aclosing(caller.feed("/feed")) as feed:
+        async for event in map_json(feed):
+            numbers.append(event["sequence"])
+            instances.add(event["instance"])
+            if len(numbers) == 5:
+                left = site.serving()
+                site.drain(left)
+                draining = asyncio.create_task(left.sidecar.drain(0, 60))
+            if len(instances) == 2 and len(numbers) > 20:
+                break
+    assert numbers == list(range(numbers[0], numbers[0] + len(numbers)))
+    answer = await caller.request("GET", "/")
+    assert json.loads(answer.body)["instance"] != left.member.node_id
+    assert await draining == 0
+
+
+async def map_json(lines):
+    async for item in lines:
+        yield json.loads(item)
