Add the demo and the tool that runs processes

The demo runs 13 processes: platform, fabric, three entry instances and four targets with sidecars. It kills an entry instance under an open feed, drains the target that serves the feed, puts a second manifest in force, and checks that no event and no line was lost or doubled. A failed check prints the daemons' last log lines.

--- a/emulator/upstream.py
+++ b/emulator/upstream.py
@@ -9,9 +9,10 @@
 import asyncio
 import hashlib
 import json
+import signal
 from collections import Counter, deque
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager, suppress
+from contextlib import asynccontextmanager
 from dataclasses import asdict, dataclass, fields, replace
 
 from aiohttp import web
@@ -333,14 +334,16 @@
 
 
 async def run(options: argparse.Namespace) -> None:
-    """Serve until the process is told to stop."""
+    """Serve until SIGTERM or SIGINT."""
+    stopped = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().add_signal_handler(number, stopped.set)
     chosen = {f.name: getattr(options, f.name) for f in fields(Behaviour)}
     upstream = Upstream(options.name, Behaviour(**chosen))
     async with serving(upstream, options.listen) as address:
         print(f"event=listening address={address} name={options.name}", flush=True)
-        await asyncio.Event().wait()
+        await stopped.wait()
 
 
 if __name__ == "__main__":
-    with suppress(KeyboardInterrupt):
-        asyncio.run(run(parser().parse_args()))
+    asyncio.run(run(parser().parse_args()))
--- a/src/cranberryhold/caller.py
+++ b/src/cranberryhold/caller.py
@@ -87,6 +87,12 @@
         self._rng = rng
         self._newest: asyncio.Future[ClientConnection] | None = None
         self._tasks: set[asyncio.Task[None]] = set()
+        self._opened = 0
+
+    @property
+    def connections_opened(self) -> int:
+        """Number of connections that were established so far."""
+        return self._opened
 
     @classmethod
     @asynccontextmanager
@@ -282,6 +288,7 @@
         """Open a connection and keep it until it has no more requests."""
         try:
             async with connected(self._peer, self._configuration) as connection:
+                self._opened += 1
                 ready.set_result(connection)
                 await connection.finished()
         except (CranberryholdError, OSError) as error:
--- /dev/null
+++ b/tests/test_processes.py
@@ -0,0 +1,49 @@
+"""Starting and stopping processes: none may be left behind, none missed."""
+
+import os
+import signal
+
+import pytest
+
+from tools.processes import ProcessError, free_addresses, processes
+
+UPSTREAM = ("emulator.upstream", "--name", "t1", "--listen")
+
+
+def alive(pid):
+    try:
+        os.kill(pid, 0)
+    except ProcessLookupError:
+        return False
+    return True
+
+
+async def test_a_process_is_ready_when_it_says_so_and_ends_with_the_context():
+    (address,) = free_addresses(1)
+    async with processes() as started:
+        process = await started.start("t1", *UPSTREAM, str(address))
+        assert str(address) in await process.printed("event=listening")
+        assert started.running == [process]
+        assert alive(process.pid)
+    assert not alive(process.pid)
+
+
+async def test_a_process_that_ends_early_is_reported_with_its_output():
+    async with processes() as started:
+        process = await started.start("t1", *UPSTREAM, "nonsense")
+        with pytest.raises(ProcessError, match="not an address"):
+            await process.printed("event=listening")
+        assert started.running == []
+
+
+async def test_a_killed_process_shows_its_signal():
+    (address,) = free_addresses(1)
+    async with processes() as started:
+        process = await started.start("t1", *UPSTREAM, str(address))
+        process.signal(signal.SIGKILL)
+        assert await process.ended() == -signal.SIGKILL
+        assert await started.stop() == {}
+
+
+def test_free_addresses_differ():
+    assert len(set(free_addresses(50))) == 50
--- /dev/null
+++ b/tools/demo_site.py
@@ -0,0 +1,228 @@
+"""The processes of the demo: platform, fabric, entry instances, targets."""
+
+import asyncio
+import json
+import tempfile
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import aiohttp
+import yaml
+
+from cranberryhold.addresses import Address
+from cranberryhold.keys import KeyRing
+from emulator.certificates import CertificateFiles, write_certificate
+from tools.processes import Processes, RunningProcess, free_addresses, processes
+
+CORE, INTAKE = "khata-core", "bill-intake"
+ENTRY_IPS = ("127.0.0.11", "127.0.0.12", "127.0.0.13")
+ZONES = ("baneshwor", "lalitpur", "bhaktapur")
+FEED_INTERVAL_MS = 100
+_DAEMON = "cranberryhold"
+
+
+@dataclass(frozen=True, slots=True)
+class Target:
+    """An upstream instance with its sidecar."""
+
+    name: str
+    service: str
+    address: Address
+    control: Address
+    upstream: RunningProcess
+    sidecar: RunningProcess
+
+
+@dataclass(slots=True)
+class Site:
+    """The running site.
+
+    :param services: address of each service.
+    :param controls: control addresses of all members, by name.
+    """
+
+    started: Processes
+    directory: Path
+    keys: KeyRing
+    files: CertificateFiles
+    store_url: str
+    services: dict[str, Address]
+    controls: dict[str, Address] = field(default_factory=dict)
+    entries: dict[str, RunningProcess] = field(default_factory=dict)
+    targets: dict[str, Target] = field(default_factory=dict)
+    fabric: RunningProcess | None = None
+
+    @property
+    def secrets(self) -> dict[str, str]:
+        """The environment that carries the key ring; flags show in process lists."""
+        return {"CRANBERRYHOLD_KEYS": self.keys.text()}
+
+    async def command(self, *arguments: str) -> RunningProcess:
+        """Run a command of cranberryhold to its end."""
+        return await self.started.run(
+            " ".join(arguments[:2]), _DAEMON, *arguments, environment=self.secrets
+        )
+
+    async def apply(self, *services: str) -> RunningProcess:
+        """Submit a manifest with these services."""
+        path = self.directory / "manifest.yaml"
+        text = yaml.safe_dump(manifest({s: self.services[s] for s in services}))
+        await asyncio.to_thread(path.write_text, text)
+        return await self.command(
+            "manifest", "apply", "--store-url", self.store_url, str(path)
+        )
+
+    async def status(self, generation: int) -> RunningProcess:
+        """Ask the members that run whether a generation is in force."""
+        contacts = ",".join(str(a) for a in self.controls.values())
+        return await self.command(
+            *("manifest", "status", "--contacts", contacts),
+            *("--generation", str(generation)),
+        )
+
+    async def control(self, target: Target, **behaviour: object) -> None:
+        """Change the behaviour of an upstream."""
+        async with (
+            aiohttp.ClientSession(f"http://{target.address}") as session,
+            session.post("/control", json=behaviour) as response,
+        ):
+            response.raise_for_status()
+
+    async def executions(self) -> dict[str, int]:
+        """Return how often each line ran, over all upstreams."""
+        total: dict[str, int] = {}
+        for target in self.targets.values():
+            async with (
+                aiohttp.ClientSession(f"http://{target.address}") as session,
+                session.get("/lines") as response,
+            ):
+                for line, count in json.loads(await response.read()).items():
+                    total[line] = total.get(line, 0) + count
+        return total
+
+
+def manifest(services: dict[str, Address]) -> dict[str, object]:
+    """Return the manifest that a pipeline would generate."""
+    classes = [
+        {"name": "board", "kind": "feed", "path_prefix": "/feed"},
+        {
+            "name": "line",
+            "methods": ["POST"],
+            "path_prefix": "/lines",
+            "at_most_once": True,
+        },
+        {
+            "name": "photo",
+            "kind": "long",
+            "path_prefix": "/upload",
+            "deadline_s": 60,
+            "max_body_bytes": 64 * 1024 * 1024,
+        },
+        {"name": "other"},
+    ]
+    declared = [
+        {
+            "name": name,
+            "addresses": [str(address)],
+            "slow_start_s": 2,
+            "drain": {"grace_s": 1, "limit_s": 60},
+            "classes": classes,
+        }
+        for name, address in services.items()
+    ]
+    return {"version": 1, "services": declared}
+
+
+@asynccontextmanager
+async def running_site() -> AsyncIterator[Site]:
+    """Run three entry instances, three targets of one service and one of another."""
+    addresses = free_addresses(2)
+    (platform,) = free_addresses(1)
+    with tempfile.TemporaryDirectory() as name:
+        async with processes() as started:
+            site = Site(
+                started,
+                Path(name),
+                KeyRing.generate(),
+                write_certificate(Path(name)),
+                f"http://{platform}",
+                dict(zip((CORE, INTAKE), addresses, strict=True)),
+            )
+            store = await started.start(
+                "platform", "emulator.platform", "--listen", str(platform)
+            )
+            await store.printed("listening")
+            await _start_fabric(site)
+            await _start_entries(site)
+            await asyncio.gather(
+                *(_start_target(site, n, CORE) for n in ("t1", "t2", "t3")),
+                _start_target(site, "b1", INTAKE),
+            )
+            yield site
+
+
+async def _start_fabric(site: Site) -> None:
+    services = [f"--service={a}" for a in site.services.values()]
+    entries = [f"--entry={ip}" for ip in ENTRY_IPS]
+    site.fabric = await site.started.start(
+        "fabric", "emulator.fabric", *services, *entries
+    )
+    await site.fabric.printed("event=ready")
+
+
+async def _start_entries(site: Site) -> None:
+    for number, ip in enumerate(ENTRY_IPS):
+        name = f"e{number + 1}"
+        control, forward = free_addresses(2)
+        site.controls[name] = control
+        site.entries[name] = await site.started.start(
+            name,
+            _DAEMON,
+            "entry",
+            *_node_options(site, name, control, ZONES[number]),
+            *("--store-url", site.store_url),
+            *("--forward-address", str(forward)),
+            *("--listen-address", ip),
+            environment=site.secrets,
+        )
+    for process in site.entries.values():
+        await process.printed("event=node-started")
+
+
+async def _start_target(site: Site, name: str, service: str) -> None:
+    address, control, forward = free_addresses(3)
+    upstream = await site.started.start(
+        name,
+        "emulator.upstream",
+        *("--listen", str(address), "--name", name, "--service-time-ms", "5"),
+        *("--feed-interval-ms", str(FEED_INTERVAL_MS)),
+    )
+    await upstream.printed("event=listening")
+    zone = ZONES[len(site.targets) % len(ZONES)]
+    site.controls[name] = control
+    sidecar = await site.started.start(
+        f"sidecar of {name}",
+        _DAEMON,
+        "sidecar",
+        *_node_options(site, name, control, zone),
+        *("--service", service, "--upstream", str(address)),
+        *("--forward-address", str(forward)),
+        *("--certificate", str(site.files.certificate)),
+        *("--private-key", str(site.files.private_key)),
+        environment=site.secrets,
+    )
+    await sidecar.printed("event=node-started")
+    site.targets[name] = Target(name, service, address, control, upstream, sidecar)
+
+
+def _node_options(
+    site: Site, name: str, control: Address, zone: str
+) -> tuple[str, ...]:
+    contacts = ",".join(str(a) for n, a in site.controls.items() if n != name)
+    return (
+        *("--node-id", name, "--zone", zone, "--region", "kathmandu"),
+        *("--control-address", str(control)),
+        *(("--contacts", contacts) if contacts else ()),
+    )
