--- a/src/cranberryhold/admission.py
+++ b/src/cranberryhold/admission.py
@@ -18,7 +18,8 @@
 
 OFFER_LIFE_S = 0.2
 _STEP = "admit"
-_DEMAND_WINDOW_S = 5.0
+# The short window sees a rise at once, the long one bridges pauses.
+_DEMAND_WINDOWS_S = (1.0, 10.0)
 _NO_DEMAND = 0.01
 _SERVICE_TIME_GAIN = 0.1
 # A long request that short ones have kept waiting for this long takes the next
@@ -86,6 +87,22 @@
         return self.means.get(key, 0.0)
 
 
+@dataclass(slots=True)
+class _Decaying:
+    """Seconds of work for each second, with an exponential window."""
+
+    window: float
+    value: float = 0.0
+    at: float = 0.0
+
+    def rate(self, now: float) -> float:
+        return self.value * math.exp((self.at - now) / self.window)
+
+    def add(self, work: float, now: float) -> None:
+        self.value = self.rate(now) + work / self.window
+        self.at = now
+
+
 class Admission:
     """The slots of one upstream and the requests that wait for them.
 
@@ -100,8 +117,7 @@
         self._queues = {kind: deque[_Waiter]() for kind in ClassKind}
         self._waiting: Counter[str] = Counter()
         self._times = _ServiceTimes()
-        self._demand = 0.0
-        self._demand_at = 0.0
+        self._demand = [_Decaying(window) for window in _DEMAND_WINDOWS_S]
         self._offers: dict[int, _Offer] = {}
         self._last_offer = 0
         self._refused: Counter[str] = Counter()
@@ -115,7 +131,8 @@
     @property
     def reserved(self) -> int:
         """Slots that long requests leave free for short ones."""
-        demand = self._short_demand()
+        now = self._clock.monotonic()
+        demand = max(window.rate(now) for window in self._demand)
         if demand < _NO_DEMAND:
             return 0
         return min(self._slots() - 1, math.ceil(demand + math.sqrt(demand)))
@@ -177,6 +194,13 @@
                 self._dispatch()
         return waiter.granted.result()
 
+    def note_arrival(self, request_class: RequestClass) -> None:
+        """Count a request that arrived here, wherever it will run."""
+        if request_class.kind is ClassKind.SHORT:
+            now, work = self._clock.monotonic(), self._times.of(request_class.name)
+            for window in self._demand:
+                window.add(work, now)
+
     def try_enter(self, request_class: RequestClass) -> Lease | None:
         """Return a slot if one is free that no waiting request may use."""
         self._dispatch()
@@ -221,7 +245,6 @@
 
     def _refuse(self, request_class: RequestClass, reason: str) -> None:
         self._refused[request_class.name] += 1
-        self._note_demand(request_class)
         raise NotRunError(f"not run: {reason}", step=_STEP)
 
     def _expected_wait(self, kind: ClassKind) -> float:
@@ -277,7 +300,6 @@
 
     def _start(self, request_class: RequestClass) -> Lease:
         self._running[request_class.kind] += 1
-        self._note_demand(request_class)
         return Lease(request_class, self._clock.monotonic(), self._finish)
 
     def _finish(self, lease: Lease) -> None:
@@ -288,14 +310,3 @@
         lease.is_held = False
         self._running[lease.request_class.kind] -= 1
         self._dispatch()
-
-    def _note_demand(self, request_class: RequestClass) -> None:
-        if request_class.kind is ClassKind.SHORT:
-            work = self._times.of(request_class.name)
-            self._demand = self._short_demand() + work / _DEMAND_WINDOW_S
-            self._demand_at = self._clock.monotonic()
-
-    def _short_demand(self) -> float:
-        """Recent short work in slots: seconds of work for each second."""
-        age = self._clock.monotonic() - self._demand_at
-        return self._demand * math.exp(-age / _DEMAND_WINDOW_S)
--- a/src/cranberryhold/pipeline.py
+++ b/src/cranberryhold/pipeline.py
@@ -235,6 +235,7 @@
         async def run(request: Request) -> AsyncIterator[Response]:
             lease = None
             if request_class.kind is not ClassKind.FEED:
+                self._admission.note_arrival(request_class)
                 lease = await self._admission.enter(
                     request_class, request.deadline, request.offer_id
                 )
@@ -323,6 +324,8 @@
     ) -> Lease | Offer:
         """Return a local slot or a peer's offer, whichever comes first."""
         pool, deadline = self._pool, request.deadline
+        if not request.passed_on:
+            self._admission.note_arrival(request_class)
         if pool is None or request.passed_on:
             return await self._admission.enter(
                 request_class, deadline, request.offer_id
--- a/src/cranberryhold/pool.py
+++ b/src/cranberryhold/pool.py
@@ -24,6 +24,8 @@
 _HEARD_LIFE_S = 1.0
 # A peer that has just declined is not asked again before this has passed.
 _DECLINED_PAUSE_S = 0.02
+# Uploads may wait for minutes: asking at a steady pace would cost more than it finds.
+_MAX_PAUSE_S = 0.64
 
 
 @dataclass(frozen=True, slots=True)
@@ -134,9 +136,10 @@
 
     async def wait_for_slot(self, request_class: str) -> Offer:
         """Ask until a peer offers a slot."""
+        pause = _DECLINED_PAUSE_S
         while (offer := await self.find_slot(request_class)) is None:
-            pause = _DECLINED_PAUSE_S * self._random.uniform(0.5, 1.5)
-            await self._clock.sleep(pause)
+            await self._clock.sleep(pause * self._random.uniform(0.5, 1.0))
+            pause = min(2 * pause, _MAX_PAUSE_S)
         return offer
 
     def withdraw(self, offer: Offer) -> None:
--- /dev/null
+++ b/tests/baselines_requests.py
@@ -0,0 +1,160 @@
+"""Simpler ways to place requests, to compare the system with in virtual time."""
+
+import asyncio
+import zlib
+from collections.abc import Callable
+from dataclasses import dataclass
+from random import Random
+from typing import Protocol
+
+from cranberryhold.exchange import Request
+from cranberryhold.manifest import ClassKind, RequestClass, Service
+from tests.requests_support import Fleet
+
+
+@dataclass(frozen=True, slots=True)
+class Job:
+    """A request of the model.
+
+    :param flow: number of the flow that it arrives on.
+    :param seconds: service time.
+    :param deadline_s: seconds after which its caller gives up.
+    """
+
+    kind: ClassKind
+    flow: int
+    seconds: float
+    deadline_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class Size:
+    """A service of the model; ``delay`` is the one way time between zones."""
+
+    name: str
+    targets: int
+    slots: int
+    delay: float
+
+
+class Placement(Protocol):
+    """Runs jobs on the targets of a service."""
+
+    async def run(self, job: Job) -> bool:
+        """Return whether the job was answered; False if it was refused."""
+
+
+def home(flow: int, targets: int) -> int:
+    """Return the target that holds a flow."""
+    return zlib.crc32(flow.to_bytes(8)) % targets
+
+
+class CranberryholdPlacement:
+    """The system's own pipelines."""
+
+    def __init__(self, size: Size, random: Random) -> None:
+        service = Service(
+            name="khata-core",
+            addresses=("127.0.0.1:4433",),
+            slots_per_target=size.slots,
+            classes=(
+                RequestClass(
+                    name="long",
+                    kind=ClassKind.LONG,
+                    path_prefix="/long",
+                    deadline_s=3600,
+                    queue_limit=10_000,
+                ),
+                RequestClass(name="short", deadline_s=3600, queue_limit=10_000),
+            ),
+        )
+        self.fleet = Fleet(size.targets, lambda: service, delay=size.delay)
+
+    async def run(self, job: Job) -> bool:
+        pipelines = self.fleet.pipelines
+        headers = (
+            ("x-seconds", repr(job.seconds)),
+            ("cranberryhold-deadline-ms", repr(job.deadline_s * 1000)),
+        )
+        request = Request("GET", f"/{job.kind}", headers)
+        async with pipelines[home(job.flow, len(pipelines))](request) as response:
+            async for _ in response.body:
+                pass
+            return response.status == 200
+
+
+class OneQueue:
+    """All slots behind one queue, first come first served, without delays."""
+
+    def __init__(self, size: Size, random: Random) -> None:
+        self._slots = asyncio.Semaphore(size.targets * size.slots)
+
+    async def run(self, job: Job) -> bool:
+        async with self._slots:
+            await asyncio.sleep(job.seconds)
+        return True
+
+
+class _QueuePerTarget:
+    """A queue at each target, first come first served."""
+
+    def __init__(self, size: Size, random: Random) -> None:
+        self._size = size
+        self._random = random
+        self._slots = [asyncio.Semaphore(size.slots) for _ in range(size.targets)]
+        self._present = [0] * size.targets
+
+    def _choose(self, job: Job) -> int:
+        raise NotImplementedError
+
+    async def run(self, job: Job) -> bool:
+        target = self._choose(job)
+        self._present[target] += 1
+        try:
+            async with self._slots[target]:
+                await asyncio.sleep(job.seconds)
+        finally:
+            self._present[target] -= 1
+        return True
+
+
+class PlainHash(_QueuePerTarget):
+    """The target that holds the flow."""
+
+    def _choose(self, job: Job) -> int:
+        return home(job.flow, self._size.targets)
+
+
+class RoundRobin(_QueuePerTarget):
+    """Each target in turn."""
+
+    _next = 0
+
+    def _choose(self, job: Job) -> int:
+        self._next += 1
+        return self._next % self._size.targets
+
+
+class LeastLoaded(_QueuePerTarget):
+    """The target with the fewest requests, by reports that are up to 1 s old."""
+
+    _reported_at = -1.0
+    _reported: tuple[int, ...] = ()
+
+    def _choose(self, job: Job) -> int:
+        now = asyncio.get_running_loop().time()
+        if now - self._reported_at >= 1.0:
+            self._reported_at, self._reported = now, tuple(self._present)
+        fewest = min(self._reported)
+        return self._random.choice(
+            [i for i, n in enumerate(self._reported) if n == fewest]
+        )
+
+
+PLACEMENTS: dict[str, Callable[[Size, Random], Placement]] = {
+    "cranberryhold": CranberryholdPlacement,
+    "one queue": OneQueue,
+    "least loaded, stale": LeastLoaded,
+    "round robin": RoundRobin,
+    "plain hash": PlainHash,
+}
--- a/tests/requests_support.py
+++ b/tests/requests_support.py
@@ -45,7 +45,7 @@
 class Upstream:
     """Counts what reaches it; answers with the request's own path and body.
 
-    :param seconds: service time.
+    :param seconds: service time of a request without the header ``x-seconds``.
     :param answer: bytes that follow the body in the answer.
     """
 
@@ -63,7 +63,7 @@
             raise self.error
         self.started.append(request.path)
         body = b"".join([chunk async for chunk in request.body])
-        await asyncio.sleep(self.seconds)
+        await asyncio.sleep(float(request.header("x-seconds") or self.seconds))
         self.finished.append(request.path)
         text = f"{request.method} {request.path} ".encode() + body
         yield Response(200, self.headers, _chunks(text, self.extra))
@@ -75,9 +75,9 @@
 
 
 class FakePeers:
-    """Links pipelines of one process, with a delay each way.
+    """Links pipelines of one process, with a delay between zones.
 
-    :param delay: seconds one way.
+    :param delay: seconds one way between zones; within a zone a tenth of it.
     """
 
     def __init__(self, delay: float = 0.004) -> None:
@@ -86,28 +86,43 @@
         self.pipelines: dict[str, RequestPipeline] = {}
         self.lost: set[str] = set()
 
+    def link(self, member: Member) -> "FakeLink":
+        return FakeLink(self, member)
+
+
+class FakeLink:
+    """The peer link of one target."""
+
+    def __init__(self, peers: FakePeers, member: Member) -> None:
+        self.peers = peers
+        self.zone = member.zone
+
+    async def _travel(self, peer: Member) -> None:
+        near = peer.zone == self.zone
+        await asyncio.sleep(self.peers.delay * (0.1 if near else 1.0))
+
     async def ask(self, peer: Member, request_class: str) -> SlotAnswer:
-        await asyncio.sleep(self.delay)
-        if peer.node_id in self.lost:
+        await self._travel(peer)
+        if peer.node_id in self.peers.lost:
             raise PeerError("lost", peer=peer.node_id)
-        answer = self.pipelines[peer.node_id].answer_ask(request_class)
-        await asyncio.sleep(self.delay)
+        answer = self.peers.pipelines[peer.node_id].answer_ask(request_class)
+        await self._travel(peer)
         return answer
 
     def withdraw(self, peer: Member, offer_id: int) -> None:
-        self.pipelines[peer.node_id].withdraw_offer(offer_id)
+        self.peers.pipelines[peer.node_id].withdraw_offer(offer_id)
 
     @asynccontextmanager
     async def pass_request(
         self, peer: Member, request: Request, offer_id: int
     ) -> AsyncIterator[Response]:
         request.offer_id = offer_id
-        await asyncio.sleep(self.delay)
-        if peer.node_id in self.lost:
+        await self._travel(peer)
+        if peer.node_id in self.peers.lost:
             raise PeerError("lost", peer=peer.node_id)
-        async with self.pipelines[peer.node_id](request) as response:
-            await asyncio.sleep(self.delay)
-            if peer.node_id in self.lost:
+        async with self.peers.pipelines[peer.node_id](request) as response:
+            await self._travel(peer)
+            if peer.node_id in self.peers.lost:
                 raise OutcomeUnknownError("lost", peer=peer.node_id)
             yield response
 
@@ -116,10 +131,14 @@
     """Targets of one service, with pipelines that know each other."""
 
     def __init__(
-        self, size: int, source: Callable[[], Service], seconds: float = 0.1
+        self,
+        size: int,
+        source: Callable[[], Service],
+        seconds: float = 0.1,
+        delay: float = 0.004,
     ) -> None:
         self.clock = SystemClock()
-        self.peers = FakePeers()
+        self.peers = FakePeers(delay)
         self.upstreams = [Upstream(seconds) for _ in range(size)]
         self.pipelines: list[RequestPipeline] = []
         self.pools: list[Pool] = []
@@ -143,7 +162,7 @@
             lambda: self.peers.members,
             member.node_id,
             member.zone,
-            self.peers,
+            self.peers.link(member),
             self.clock,
             Random(number),
         )
--- /dev/null
+++ b/tests/test_retries.py
@@ -0,0 +1,55 @@
+"""Repeats: within the budget, spread over time, and never of what may run twice."""
+
+from random import Random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from cranberryhold.exchange import Outcome
+from cranberryhold.manifest import RetryPolicy
+from cranberryhold.retries import RetryBudget, backoff, combined_outcome, may_repeat
+
+NOT_RUN, UNKNOWN = Outcome.NOT_RUN, Outcome.UNKNOWN
+
+
+@given(st.lists(st.booleans(), max_size=400))
+def test_repeats_stay_within_the_budget(takes: list[bool]) -> None:
+    # Callers that repeat without a limit keep an overloaded service overloaded.
+    budget = RetryBudget(RetryPolicy())
+    requests = repeats = 0
+    for take in takes:
+        if take:
+            repeats += budget.take()
+        else:
+            budget.note_request()
+            requests += 1
+        assert repeats <= 2 + 0.1 * requests + 1e-6
+
+
+@given(st.integers(1, 40), st.integers(0, 100))
+def test_backoff_doubles_up_to_its_limit(attempt: int, seed: int) -> None:
+    longest = min(2.0, 0.05 * 2 ** (attempt - 1))
+    assert longest / 2 <= backoff(attempt, RetryPolicy(), Random(seed)) <= longest
+
+
+@pytest.mark.parametrize(
+    ("outcome", "method", "has_key", "expected"),
+    [
+        (NOT_RUN, "POST", False, True),
+        (UNKNOWN, "POST", False, False),
+        (UNKNOWN, "DELETE", False, False),
+        (UNKNOWN, "POST", True, True),
+        (UNKNOWN, "GET", False, True),
+        (UNKNOWN, "HEAD", False, True),
+    ],
+)
+def test_only_what_cannot_run_twice_is_repeated(
+    outcome: Outcome, method: str, has_key: bool, expected: bool
+) -> None:
+    assert may_repeat(outcome, method, has_key) is expected
+
+
+def test_a_lost_try_is_not_forgotten_by_a_later_refusal() -> None:
+    assert combined_outcome([UNKNOWN, NOT_RUN]) is UNKNOWN
+    assert combined_outcome([NOT_RUN, NOT_RUN]) is NOT_RUN
