--- a/src/cranberryhold/caller.py
+++ b/src/cranberryhold/caller.py
@@ -102,6 +102,7 @@
         *,
         ca_file: str | None = None,
         insecure: bool = False,
+        server_name: str | None = None,
         retry: RetryPolicy | None = None,
         clock: Clock | None = None,
         rng: random.Random | None = None,
@@ -113,13 +114,15 @@
         :param ca_file: PEM file with the authorities to trust; None for the
             system's.
         :param insecure: accept any certificate.
+        :param server_name: name that the certificate has to bear; None for the
+            URL's host.
         :param retry: limits of repeated attempts.
         :raises AddressError: if the URL has another form.
         """
         host, port = read_url(url)
         caller = cls(
             await _resolve(host, port),
-            client_configuration(host, ca_file, insecure),
+            client_configuration(server_name or host, ca_file, insecure),
             retry or RetryPolicy(),
             clock or SystemClock(),
             rng or random.Random(),
--- a/src/cranberryhold/h3_client.py
+++ b/src/cranberryhold/h3_client.py
@@ -40,10 +40,12 @@
 from cranberryhold.exchange import Headers, Request, Response
 
 CONNECT_TIMEOUT_S = 5.0
-# A connection that delivers nothing for this long is lost. Two lost answers to a
-# ping, and the seconds in which a dead entry instance is still in use, fit in it.
+# A connection with open requests that delivers nothing for this long is lost. Lost
+# answers to pings, and the seconds in which a dead entry instance is still in use,
+# fit in it.
 IDLE_TIMEOUT_S = 15.0
 PING_INTERVAL_S = 4.0
+_SILENCE_POLL_S = 1.0
 # aioquic buffers without a limit; an upload waits while this much is not yet
 # acknowledged, which also keeps the progress shown to a user honest.
 SEND_BUFFER_BYTES = 512 * 1024
@@ -194,6 +196,7 @@
         self._lost = False
         self._unused = asyncio.Event()
         self._received_at = self._loop.time()
+        self._in_use_since = self._received_at
 
     @property
     def accepts_requests(self) -> bool:
@@ -222,11 +225,22 @@
         await self._unused.wait()
 
     async def keep_alive(self) -> None:
-        """Ping while requests are open and nothing arrives, until cancelled."""
+        """Ping while requests are open and nothing arrives, until cancelled.
+
+        QUIC's own idle time-out starts anew with the first ping, so the silence is
+        measured here; otherwise a dead service was noticed after 23 s only.
+        """
+        pinged_at = 0.0
         while True:
-            await asyncio.sleep(PING_INTERVAL_S)
-            silent_s = self._loop.time() - self._received_at
-            if self._streams and silent_s >= PING_INTERVAL_S:
+            await asyncio.sleep(min(_SILENCE_POLL_S, PING_INTERVAL_S))
+            if not self._streams:
+                continue
+            now = self._loop.time()
+            quiet_since = max(self._received_at, self._in_use_since)
+            if now - quiet_since >= IDLE_TIMEOUT_S:
+                self.close(ErrorCode.H3_NO_ERROR, "nothing arrived")
+            elif now - max(quiet_since, pinged_at) >= PING_INTERVAL_S:
+                pinged_at = now
                 self._quic.send_ping(id(self))
                 self.transmit()
 
@@ -247,6 +261,8 @@
                 peer=self._peer,
             )
         stream = _Stream(self._quic.get_next_available_stream_id(), self._peer)
+        if not self._streams:
+            self._in_use_since = self._loop.time()
         self._streams[stream.stream_id] = stream
         self._h3.send_headers(stream.stream_id, _request_headers(request, authority))
         sender = asyncio.create_task(self._send_body(stream, request))
@@ -314,6 +330,8 @@
             code = ErrorCode.H3_REQUEST_CANCELLED
             if not stream.sent_all and not stream.stopped:
                 self._quic.reset_stream(stream.stream_id, code)
+                # Otherwise the HTTP/3 layer would keep the stream for ever.
+                self._h3.handle_event(StopSendingReceived(code, stream.stream_id))
             if not stream.received_all:
                 # The stream is unknown once both sides have ended.
                 with suppress(ValueError):
--- a/tests/h3_service.py
+++ b/tests/h3_service.py
@@ -4,6 +4,7 @@
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
+from types import SimpleNamespace
 
 from aioquic.asyncio.protocol import QuicConnectionProtocol
 from aioquic.asyncio.server import serve
@@ -66,6 +67,10 @@
         self._quic.send_stream_data(self.h3._local_control_stream_id, frame)
         self.transmit()
 
+    def vanish(self) -> None:
+        """Send nothing any more, as a killed process would."""
+        self._transport = SimpleNamespace(sendto=lambda data, addr: None)
+
     def quic_event_received(self, event) -> None:
         if isinstance(event, ConnectionTerminated):
             self.lost = True
--- a/tests/test_h3_client.py
+++ b/tests/test_h3_client.py
@@ -13,8 +13,9 @@
 )
 from aioquic.quic.configuration import QuicConfiguration
 from aioquic.quic.connection import QuicConnection
-from aioquic.quic.events import StreamDataReceived
+from aioquic.quic.events import PingAcknowledged, StreamDataReceived
 
+from cranberryhold import h3_client
 from cranberryhold.addresses import Address
 from cranberryhold.exceptions import NotRunError, OutcomeUnknownError
 from cranberryhold.exchange import Request, bytes_body
@@ -148,6 +149,47 @@
         assert await exchange(c, Request("POST", "/", (), bytes_body(data))) == data
 
 
+async def test_cancelled_requests_leave_nothing_behind(files):
+    async with h3_service(files, never) as service, open_to(service, files) as c:
+        await until(lambda: len(c._h3._stream) == 3)
+        for number in range(5):
+            call = asyncio.create_task(read(c, "/"))
+            await until(lambda n=number: len(service.requests) > n)
+            call.cancel()
+
+        async def endless():
+            while True:
+                yield bytes(1000)
+
+        call = asyncio.create_task(exchange(c, Request("POST", "/", (), endless())))
+        await until(lambda: len(service.requests) == 6)
+        call.cancel()
+        await until(lambda: len(c._h3._stream) == 3 and not c._streams)
+
+
+async def test_a_silent_feed_is_kept_open_by_pings(files, monkeypatch):
+    monkeypatch.setattr(h3_client, "PING_INTERVAL_S", 0.01)
+    async with h3_service(files, never) as service, open_to(service, files) as c:
+        events, take = [], c.quic_event_received
+        monkeypatch.setattr(
+            c, "quic_event_received", lambda event: (events.append(event), take(event))
+        )
+        feed = asyncio.create_task(read(c, "/feed"))
+        await until(lambda: [type(e) for e in events].count(PingAcknowledged) >= 3)
+        feed.cancel()
+
+
+async def test_a_service_that_vanishes_is_noticed(files, monkeypatch):
+    monkeypatch.setattr(h3_client, "IDLE_TIMEOUT_S", 0.3)
+    async with h3_service(files, never) as service, open_to(service, files) as c:
+        call = asyncio.create_task(read(c, "/"))
+        await until(lambda: service.requests)
+        service.connections[0].vanish()
+        with pytest.raises(OutcomeUnknownError, match="lost"):
+            await call
+        await c.finished()
+
+
 async def read(connection, path):
     return await exchange(connection, Request("GET", path))
 
