--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -15,3 +15,9 @@
     """Certificate and key of a service on loopback."""
     names = ("localhost", "127.0.0.1", LOCAL)
     return write_certificate(tmp_path_factory.mktemp("certificate"), names)
+
+
+@pytest.fixture(scope="session")
+def certificate(files: CertificateFiles) -> tuple[str, str]:
+    """Return the paths of the certificate and of its key."""
+    return str(files.certificate), str(files.private_key)
