Vary flows and their targets in the routing benchmark; measure a replacement

Cause: all benchmark flows named one target and there were 1,000 of them, so that growth with the number of flows could not show; targets are usually replaced, not only added or removed. Change: flows name all targets of the service, 1,000 or 50,000 of them; the placement measure has a replacement that half of the fleet knows.

--- a/tools/bench.py
+++ b/tools/bench.py
@@ -88,37 +88,57 @@
 
 
 def routing_cost() -> Table:
-    """Return the time per routing decision by number of targets and services."""
+    """Return the time per routing decision by targets, services and flows."""
     table = Table(
         "Routing cost per packet, microseconds (fastest of 5 runs)",
-        ("targets", "services", "short header", "first packet", "table rebuild ms"),
+        (
+            "targets",
+            "services",
+            "flows",
+            "short header",
+            "first packet",
+            "table rebuild ms",
+        ),
     )
-    for targets, services in ((10, 1), (1000, 1), (6500, 1), (1000, 650), (6500, 650)):
-        table.add(targets, services, *_costs(targets, services))
+    for size in (
+        (10, 1, 1_000),
+        (1_000, 1, 1_000),
+        (6_500, 1, 1_000),
+        (1_000, 650, 1_000),
+        (6_500, 650, 1_000),
+        (6_500, 650, 50_000),
+    ):
+        table.add(*size, *_costs(*size))
     return table
 
 
-def _costs(targets: int, services: int) -> tuple[float, float, float]:
+def _costs(targets: int, services: int, count: int) -> tuple[float, float, float]:
     names = [SERVICE, *(f"s{number}" for number in range(1, services))]
+    addresses = [
+        Address(f"10.{n >> 16}.{n >> 8 & 255}.{n & 255}", 443) for n in range(targets)
+    ]
     members = MemberTable()
-    for number in range(targets):
-        where = Address(f"10.{number >> 16}.{number >> 8 & 255}.{number & 255}", 443)
+    for number, where in enumerate(addresses):
         name = names[number % services]
         members.merge(Member(f"t{number}", Role.SIDECAR, "z", "r", where, where, name))
     tables = TargetTables(members, _PlainClock())
     tables.track(names)
     tables.refresh()
     router, service = Router(KEYS, tables), tables[SERVICE]
-    flows = [flow_packet(Address("10.0.0.1", 443), n) for n in range(1000)]
+    own = addresses[::services]
+    flows = [flow_packet(own[n % len(own)], n) for n in range(count)]
     firsts = [
         (b"\xc0\x00\x00\x00\x01\x08" + n.to_bytes(8, "big")).ljust(1200, b"\0")
-        for n in range(1000)
+        for n in range(count)
     ]
+
+    def route_all(packets: list[bytes]) -> None:
+        for packet in packets:
+            router.route(service, packet)
+
     return (
-        _fastest(lambda: [router.route(service, p) for p in flows]) / len(flows) * 1e6,
-        _fastest(lambda: [router.route(service, p) for p in firsts])
-        / len(firsts)
-        * 1e6,
+        _fastest(lambda: route_all(flows)) / count * 1e6,
+        _fastest(lambda: route_all(firsts)) / count * 1e6,
         _fastest(lambda: MaglevTable(service.table.weights)) * 1e3,
     )
 
--- a/tools/measures/placement.py
+++ b/tools/measures/placement.py
@@ -141,12 +141,14 @@
     eight = (*seven, _member(TARGETS))
     leaving = replace(seven[3], weight=0, state=MemberState.LEAVING, version=1)
     left = (*seven[:3], leaving, *seven[4:])
+    replaced = (*left, _member(TARGETS))
     return [
         Change("none", seven, seven),
         Change("join", seven, eight),
         Change("leave", seven, left),
         Change("join, half know", seven, eight, share=0.5),
         Change("leave, half know", seven, left, share=0.5),
+        Change("replace, half know", seven, replaced, share=0.5),
     ]
 
 
@@ -195,10 +197,10 @@
         "change through another instance, reaches another target",
         ("scheme", *(change.name for change in changes)),
     )
-    # A join must move 1/8 of the keys and a leave 1/7. When half of the instances
-    # know, the copy meets the new table half the time.
-    least = (1 / (TARGETS + 1), 1 / TARGETS)
-    table.add("least possible", *least, *(share / 2 for share in least))
+    # A join must move 1/8 of the keys, a leave or a replacement 1/7. When half of
+    # the instances know, the copy meets the new table half the time.
+    join, leave = 1 / (TARGETS + 1), 1 / TARGETS
+    table.add("least possible", join, leave, join / 2, leave / 2, leave / 2)
     for name, make in SCHEMES.items():
         table.add(name, *(_split(make(), change, seed) for change in changes))
     return table
