Offer the state dump, metrics and key=value logs in both daemons

Cause: the daemons did not use these modules yet. Change: dump by zmq and SIGUSR1, numbers of the state as statsd gauges, one log line per event.

--- a/src/cranberryhold/daemon.py
+++ b/src/cranberryhold/daemon.py
@@ -6,14 +6,15 @@
 from contextlib import AsyncExitStack, asynccontextmanager, contextmanager
 from dataclasses import dataclass, field
 
-from loguru import logger
-
 from cranberryhold.connection_ids import TargetRef
 from cranberryhold.consul import ConsulStore
+from cranberryhold.dump import DumpRequest, State, dump_handler, dump_on_signal
 from cranberryhold.entry import Entry
 from cranberryhold.exceptions import ManifestError
+from cranberryhold.logs import log_event
 from cranberryhold.manifest import AcceptedManifest, DrainPolicy, Service, service_id
 from cranberryhold.members import Role
+from cranberryhold.metrics import sending_metrics
 from cranberryhold.node import Node, running_node
 from cranberryhold.pipeline import RequestPipeline
 from cranberryhold.placement import slow_start_schedule, slow_start_weight
@@ -66,11 +67,17 @@
         entry = Entry(keys=settings.node.keys, members=node.members, settings=settings)
         await stack.enter_async_context(entry.serving())
         node.manifests.accepted.subscribe(lambda a: _apply(entry, a))
+        await _enter_reports(
+            stack,
+            settings.node,
+            node,
+            lambda: {**node.state(), "entry": entry.state()},
+        )
         await signals.first.wait()
-        logger.info("event=leaving node={}", settings.node.node_id)
+        log_event("leaving", node=settings.node.node_id)
         node.membership.announce(leaving=True)
         await _first_of(signals.second.wait(), asyncio.sleep(ENTRY_LINGER_S))
-    logger.info("event=stopped node={}", settings.node.node_id)
+    log_event("stopped", node=settings.node.node_id)
     return 0
 
 
@@ -84,7 +91,7 @@
         daemon = await stack.enter_async_context(running_sidecar(settings))
         await signals.first.wait()
         cut = await daemon.leave(signals.second)
-    logger.info("event=stopped node={} cut_requests={}", settings.node.node_id, cut)
+    log_event("stopped", node=settings.node.node_id, cut_requests=cut)
     return 1 if cut else 0
 
 
@@ -140,11 +147,7 @@
 
     def follow_upstream(self, state: UpstreamState) -> None:
         """Drain with the upstream, and start slowly when it is back."""
-        logger.info(
-            "event=upstream_state upstream={} state={}",
-            self._settings.upstream,
-            state.value,
-        )
+        log_event("upstream-state", upstream=self._settings.upstream, state=state.value)
         if self._slow_start is not None:
             self._slow_start.cancel()
         if state is UpstreamState.OK:
@@ -164,11 +167,12 @@
         cut = drain.result() if drain.done() else self._sidecar.running
         drain.cancel()
         if cut:
-            logger.warning(
-                "event=requests_cut node={} count={} classes={}",
-                self._settings.node.node_id,
-                cut,
-                self._pipeline.running,
+            log_event(
+                "requests-cut",
+                level="WARNING",
+                node=self._settings.node.node_id,
+                count=cut,
+                classes=self._pipeline.running,
             )
         return cut
 
@@ -176,11 +180,7 @@
         if self._draining is None:
             policy = self.service.drain if self.service else DrainPolicy()
             limit_s = self._settings.node.drain_limit_s or policy.limit_s
-            logger.info(
-                "event=draining node={} limit_s={}",
-                self._settings.node.node_id,
-                limit_s,
-            )
+            log_event("draining", node=self._settings.node.node_id, limit_s=limit_s)
             self._pipeline.begin_drain(policy.grace_s)
             self._draining = asyncio.create_task(
                 self._sidecar.drain(policy.grace_s, limit_s)
@@ -248,6 +248,7 @@
         node.manifests.accepted.subscribe(daemon.apply_manifest)
         monitor.changes.subscribe(daemon.follow_upstream)
         stack.enter_context(_background(monitor.run()))
+        await _enter_reports(stack, settings.node, node, daemon.state)
         yield daemon
 
 
@@ -262,14 +263,26 @@
     )
 
 
+async def _enter_reports(
+    stack: AsyncExitStack, settings: NodeSettings, node: Node, state: State
+) -> None:
+    """Offer the state dump, and send its numbers as metrics."""
+    node.control.register(DumpRequest, dump_handler(state))
+    stack.enter_context(dump_on_signal(state))
+    await stack.enter_async_context(
+        sending_metrics(settings.statsd, settings.node_id, node.clock, state)
+    )
+
+
 def _apply(entry: Entry, accepted: AcceptedManifest) -> None:
     try:
         entry.apply_manifest(accepted)
     except ManifestError as error:
-        logger.error(
-            "event=manifest_not_applied generation={} error={!r}",
-            accepted.generation,
-            str(error),
+        log_event(
+            "manifest-not-applied",
+            level="ERROR",
+            generation=accepted.generation,
+            error=error,
         )
 
 
