Pass requests between targets over zmq with CURVE

Cause: the pool had no transport.

Change: PassingServer and PassingLink on the TCP port after the control port. Bodies flow by credit (256 KiB on the way), the length in the end message shows a cut body, leaving the context cancels the run at the peer, and a connection is never reopened under its old exchanges.

--- /dev/null
+++ b/src/cranberryhold/passing_messages.py
@@ -0,0 +1,194 @@
+"""What two targets send each other to pass requests, and the flow control of it.
+
+A sender may have 256 KiB of a body on the way; the receiver gives credit back as
+its reader takes the bytes, so that a slow reader holds no more than that.
+"""
+
+import asyncio
+from collections.abc import AsyncIterator, Awaitable, Callable
+
+from msgspec import Struct
+from msgspec.msgpack import Decoder, Encoder
+
+from cranberryhold.exceptions import OutcomeUnknownError
+from cranberryhold.exchange import Headers
+
+WINDOW_BYTES = 256 * 1024
+CHUNK_BYTES = 64 * 1024
+
+
+class Ask(Struct, tag=1, array_like=True):
+    """Asks for a slot."""
+
+    exchange: int
+    request_class: str
+
+
+class Offered(Struct, tag=2, array_like=True):
+    """Answers an ask; offer 0 declines."""
+
+    exchange: int
+    offer_id: int
+    running: int
+    waiting: int
+    slots: int
+
+
+class Withdraw(Struct, tag=3, array_like=True):
+    """Gives an offer back."""
+
+    offer_id: int
+
+
+class RequestHead(Struct, tag=4, array_like=True):
+    """Begins a request; ``left_ms`` is the time to its deadline, or None."""
+
+    exchange: int
+    offer_id: int
+    method: str
+    path: str
+    headers: Headers
+    left_ms: float | None
+
+
+class ResponseHead(Struct, tag=5, array_like=True):
+    """Begins a response."""
+
+    exchange: int
+    status: int
+    headers: Headers
+
+
+class Chunk(Struct, tag=6, array_like=True):
+    """Part of a body."""
+
+    exchange: int
+    data: bytes
+
+
+class End(Struct, tag=7, array_like=True):
+    """Ends a body; ``size`` is its length, which the receiver checks."""
+
+    exchange: int
+    size: int
+
+
+class Credit(Struct, tag=8, array_like=True):
+    """Lets the sender of a body send so many bytes more."""
+
+    exchange: int
+    size: int
+
+
+class Cancel(Struct, tag=9, array_like=True):
+    """Says that nobody waits for the response any more."""
+
+    exchange: int
+
+
+class Failed(Struct, tag=10, array_like=True):
+    """Says that a response will not come or not end."""
+
+    exchange: int
+    reason: str
+
+
+class Ping(Struct, tag=11, array_like=True):
+    """Finds out whether the connection still exists; needs no answer."""
+
+
+Message = (
+    Ask
+    | Offered
+    | Withdraw
+    | RequestHead
+    | ResponseHead
+    | Chunk
+    | End
+    | Credit
+    | Cancel
+    | Failed
+    | Ping
+)
+Send = Callable[[Message], Awaitable[None]]
+
+encode = Encoder().encode
+decode = Decoder(Message).decode
+
+
+class Channel:
+    """One exchange over a connection that carries many.
+
+    :param number: the exchange's number on its connection.
+    :param send: sends a message to the other side, in order.
+    """
+
+    def __init__(self, number: int, send: Send) -> None:
+        self.number = number
+        self.is_ended = False
+        self._send = send
+        self._inbox: asyncio.Queue[Message | Exception] = asyncio.Queue()
+        self._credit = WINDOW_BYTES
+        self._has_credit = asyncio.Event()
+        self._has_credit.set()
+
+    def deliver(self, message: Message | Exception) -> None:
+        """Take a message, or an error that ends the exchange."""
+        if isinstance(message, Credit):
+            self._credit += message.size
+            self._has_credit.set()
+        else:
+            self._inbox.put_nowait(message)
+
+    async def receive(self) -> Message:
+        """Return the next message.
+
+        :raises OutcomeUnknownError: if the other side failed or was lost.
+        """
+        message = await self._inbox.get()
+        if isinstance(message, Exception):
+            raise message
+        if isinstance(message, Failed):
+            self.is_ended = True
+            raise OutcomeUnknownError(message.reason, step="pass request")
+        return message
+
+    async def send_body(self, chunks: AsyncIterator[bytes]) -> None:
+        """Send a body as credit allows."""
+        size = 0
+        async for chunk in chunks:
+            for start in range(0, len(chunk), CHUNK_BYTES):
+                part = bytes(chunk[start : start + CHUNK_BYTES])
+                await self._spend(len(part))
+                size += len(part)
+                await self._send(Chunk(self.number, part))
+        await self._send(End(self.number, size))
+
+    async def body(self) -> AsyncIterator[bytes]:
+        """Return the other side's body.
+
+        :raises OutcomeUnknownError: if it does not arrive whole.
+        """
+        size = 0
+        while True:
+            message = await self.receive()
+            if isinstance(message, End):
+                self.is_ended = True
+                if message.size != size:
+                    raise OutcomeUnknownError(
+                        f"got {size} of {message.size} bytes", step="read body"
+                    )
+                return
+            if not isinstance(message, Chunk):
+                raise OutcomeUnknownError(
+                    f"unexpected {type(message).__name__}", step="read body"
+                )
+            size += len(message.data)
+            yield message.data
+            await self._send(Credit(self.number, len(message.data)))
+
+    async def _spend(self, size: int) -> None:
+        while self._credit < size:
+            self._has_credit.clear()
+            await self._has_credit.wait()
+        self._credit -= size
--- /dev/null
+++ b/tests/test_passing.py
@@ -0,0 +1,193 @@
+"""Requests passed between targets over zmq: whole answers, honest outcomes."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import pytest
+import zmq
+import zmq.asyncio
+
+from cranberryhold.addresses import Address
+from cranberryhold.clock import SystemClock
+from cranberryhold.connection_ids import TargetRef
+from cranberryhold.control import curve_pair
+from cranberryhold.exceptions import OutcomeUnknownError, PeerError
+from cranberryhold.exchange import Request, Response
+from cranberryhold.keys import KeyRing
+from cranberryhold.members import Member, Role
+from cranberryhold.passing import PassingLink, PassingServer
+from cranberryhold.passing_messages import Ask, Channel, Chunk, End, encode
+from cranberryhold.pipeline import RequestPipeline
+from tests.requests_support import RING, Upstream, post, service
+from tests.sockets import LOCAL
+from tests.waiting import until
+
+LOOPBACK = Address(LOCAL, 0)
+
+
+@asynccontextmanager
+async def peer(run_local, slots: int = 4, keys: KeyRing = RING):
+    """Yield a serving peer's member record, its pipeline and its server."""
+    clock = SystemClock()
+    target = TargetRef(LOOPBACK, service().service_id, 1)
+    pipeline = RequestPipeline(lambda: service(slots), target, keys, clock, run_local)
+    with PassingServer(keys, LOOPBACK, pipeline, clock).serving() as server:
+        control = Address(LOCAL, server.address.port - 1)
+        yield Member("p", Role.SIDECAR, "z", "r", control, LOOPBACK), pipeline, server
+
+
+async def read(link: PassingLink, member: Member, request: Request, offer: int = 0):
+    async with link.pass_request(member, request, offer) as response:
+        body = b"".join([chunk async for chunk in response.body])
+        return response.status, response.outcome, body
+
+
+async def test_each_request_gets_its_whole_answer() -> None:
+    # Answers of different lengths end in another order than they began, while
+    # every third caller leaves.
+    upstream = Upstream(0, answer=b"-" * 700_000)
+    async with (
+        peer(upstream, 64) as (member, _, _),
+        PassingLink(RING, SystemClock()) as link,
+    ):
+
+        async def one(number: int) -> None:
+            path, body = f"/{number}", bytes([number]) * (number * 9000)
+            headers = (("x-seconds", str((97 - number) % 13 / 500)),)
+            request = Request("POST", path, headers, _chunks(body))
+            if number % 3 == 0:
+                async with link.pass_request(member, request, 0) as response:
+                    await anext(response.body)
+                return
+            answer = await read(link, member, request)
+            expected = f"POST {path} ".encode() + body + upstream.extra
+            assert answer == (200, None, expected)
+
+        await asyncio.gather(*(one(n) for n in range(40)))
+
+
+async def _chunks(data: bytes) -> AsyncIterator[bytes]:
+    for start in range(0, len(data), 50_000):
+        yield data[start : start + 50_000]
+
+
+async def test_offer_is_used_and_withdrawn() -> None:
+    async with (
+        peer(Upstream(0), 1) as (member, pipeline, _),
+        PassingLink(RING, SystemClock()) as link,
+    ):
+        first = await link.ask(member, "short")
+        assert first.offer_id
+        assert (await link.ask(member, "short")).offer_id == 0
+        answer = await read(link, member, post("/a"), first.offer_id)
+        assert answer == (200, None, b"POST /a ")
+        second = await link.ask(member, "short")
+        link.withdraw(member, second.offer_id)
+        await until(lambda: not pipeline.state()["admission"]["offers"])
+
+
+async def test_refusal_of_the_peer_is_passed_with_its_outcome() -> None:
+    async with (
+        peer(Upstream(0)) as (member, pipeline, _),
+        PassingLink(RING, SystemClock()) as link,
+    ):
+        pipeline.begin_drain(0)
+        assert (await read(link, member, post("/a")))[:2] == (503, "not-run")
+
+
+async def test_slow_reader_holds_no_more_than_the_window() -> None:
+    sent = 0
+
+    @asynccontextmanager
+    async def endless(request: Request) -> AsyncIterator[Response]:
+        async def body():
+            nonlocal sent
+            while True:
+                sent += 1000
+                yield b"x" * 1000
+
+        yield Response(200, (), body())
+
+    async with (
+        peer(endless) as (member, _, server),
+        PassingLink(RING, SystemClock()) as link,
+    ):
+        async with link.pass_request(member, post("/"), 0) as response:
+            await anext(response.body)
+            await asyncio.sleep(0.3)
+            assert sent <= 256 * 1024 + 1000
+        # Leaving the context cancels the run at the peer.
+        await until(lambda: not server.running)
+
+
+async def test_peer_that_cannot_be_reached_gets_nothing() -> None:
+    async with PassingLink(RING, SystemClock()) as link:
+        control = Address(LOCAL, 1)
+        member = Member("p", Role.SIDECAR, "z", "r", control, LOOPBACK)
+        with pytest.raises(PeerError):
+            await read(link, member, post("/"))
+
+
+async def test_connection_lost_after_the_head_is_unknown() -> None:
+    async with PassingLink(RING, SystemClock()) as link:
+        upstream = Upstream(30)
+        async with peer(upstream) as (member, _, _):
+            reading = asyncio.create_task(read(link, member, post("/")))
+            await until(lambda: upstream.started)
+        with pytest.raises(OutcomeUnknownError):
+            async with asyncio.timeout(5):
+                await reading
+        with pytest.raises(PeerError):
+            await link.ask(member, "short")
+
+
+async def test_run_of_a_lost_origin_is_cancelled() -> None:
+    upstream = Upstream(30)
+    async with peer(upstream) as (member, pipeline, server):
+        async with PassingLink(RING, SystemClock()) as link:
+            reading = asyncio.create_task(read(link, member, post("/")))
+            await until(lambda: upstream.started)
+        # Within the sweep's period, long before the deadline of 10 s.
+        await until(lambda: not server.running and not pipeline.running, 5)
+        with pytest.raises(OutcomeUnknownError):
+            await reading
+
+
+async def test_cut_body_is_not_taken_for_a_whole_one() -> None:
+    async def send(message) -> None:
+        pass
+
+    channel = Channel(1, send)
+    for message in (Chunk(1, b"abc"), End(1, 4)):
+        channel.deliver(message)
+    with pytest.raises(OutcomeUnknownError):
+        assert [chunk async for chunk in channel.body()]
+
+
+async def test_key_of_the_server_alone_admits_nobody() -> None:
+    async with peer(Upstream(0)) as (_, _, server):
+        context = zmq.asyncio.Context()
+        for secret, admitted in ((curve_pair(RING, 1).secret, 1), (b"", 0)):
+            secret = secret or zmq.curve_keypair()[1]
+            with context.socket(zmq.DEALER) as socket:
+                socket.curve_secretkey = secret
+                socket.curve_publickey = zmq.curve_public(secret)
+                socket.curve_serverkey = curve_pair(RING, 1).public
+                socket.connect(f"tcp://{server.address}")
+                await socket.send(encode(Ask(1, "short")))
+                assert await socket.poll(5000 if admitted else 500) == admitted
+        context.destroy(linger=0)
+
+
+async def test_only_holders_of_the_ring_connect_also_during_rotation() -> None:
+    new = {2: bytes(range(32, 64))}
+    old = {1: bytes(range(32))}
+    async with peer(Upstream(0), keys=KeyRing(new | old)) as (member, _, _):
+        for keys, admitted in ((old | new, True), (new, True), ({3: b"3" * 32}, False)):
+            async with PassingLink(KeyRing(keys), SystemClock()) as link:
+                if admitted:
+                    assert (await link.ask(member, "short")).offer_id
+                else:
+                    with pytest.raises(PeerError):
+                        await link.ask(member, "short")
