--- /dev/null
+++ b/tools/measures/records.py
@@ -0,0 +1,39 @@
+"""Memory of the records that keep keyed requests from running twice."""
+
+import tracemalloc
+
+from cranberryhold.addresses import Address
+from cranberryhold.clock import SystemClock
+from cranberryhold.connection_ids import TargetRef
+from cranberryhold.idempotency import Answer, IdempotencyKey, RecordTable
+from tools.tables import Table
+from tools.virtual_time import run_virtual
+
+_RECORDS = 10_000
+_ANSWER_BYTES = (0, 200, 1000, 4000)
+
+
+async def _bytes_per_record(answer_bytes: int) -> float:
+    clock = SystemClock()
+    target = TargetRef(Address("10.0.0.1", 4433), 1, 1)
+    table = RecordTable(clock)
+    tracemalloc.start()
+    try:
+        for number in range(_RECORDS):
+            key = IdempotencyKey(target, number.to_bytes(8), clock.wall())
+            record = table.open(key, f"POST /lines/{number}")
+            record.digest = number.to_bytes(16)
+            headers = (("content-type", f"application/json; n={number}"),)
+            answer = Answer(201, headers, bytes(answer_bytes))
+            table.close_answered(record, answer)
+        return tracemalloc.get_traced_memory()[0] / _RECORDS
+    finally:
+        tracemalloc.stop()
+
+
+def tables(seed: int) -> list[Table]:
+    """Return the memory per record; the seed has no effect."""
+    table = Table(f"memory per record, {_RECORDS:,} records", ("answer bytes", "bytes"))
+    for size in _ANSWER_BYTES:
+        table.add(size, round(run_virtual(_bytes_per_record(size))))
+    return [table]
