Test at-most-once, honest outcomes and slots of callers that leave

Change: properties over repeats at any target, leaving callers, lost peers, drains, deadlines and sizes; one request passed over zmq to the target of its key and one to a free slot.

--- a/tests/requests_support.py
+++ b/tests/requests_support.py
@@ -33,11 +33,11 @@
 
 def service(slots: int = 2, **more: object) -> Service:
     """Return a service with one class of each kind."""
+    more.setdefault("classes", (LONG, FEED, ONCE, SHORT))
     return Service(
         name="khata-core",
         addresses=("127.0.0.1:4433",),
         slots_per_target=slots,
-        classes=(LONG, FEED, ONCE, SHORT),
         **more,
     )
 
@@ -85,6 +85,7 @@
         self.members: list[Member] = []
         self.pipelines: dict[str, RequestPipeline] = {}
         self.lost: set[str] = set()
+        self.frozen: set[str] = set()
 
     def link(self, member: Member) -> "FakeLink":
         return FakeLink(self, member)
@@ -120,6 +121,8 @@
         await self._travel(peer)
         if peer.node_id in self.peers.lost:
             raise PeerError("lost", peer=peer.node_id)
+        if peer.node_id in self.peers.frozen:
+            await asyncio.sleep(10**6)
         async with self.peers.pipelines[peer.node_id](request) as response:
             await self._travel(peer)
             if peer.node_id in self.peers.lost:
--- a/tests/test_passing.py
+++ b/tests/test_passing.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from random import Random
 
 import pytest
 import zmq
@@ -13,13 +14,14 @@
 from cranberryhold.connection_ids import TargetRef
 from cranberryhold.control import curve_pair
 from cranberryhold.exceptions import OutcomeUnknownError, PeerError
-from cranberryhold.exchange import Request, Response
+from cranberryhold.exchange import KEY_PATH, Request, Response
 from cranberryhold.keys import KeyRing
 from cranberryhold.members import Member, Role
 from cranberryhold.passing import PassingLink, PassingServer
 from cranberryhold.passing_messages import Ask, Channel, Chunk, End, encode
 from cranberryhold.pipeline import RequestPipeline
-from tests.requests_support import RING, Upstream, post, service
+from cranberryhold.pool import Pool
+from tests.requests_support import RING, Upstream, answer, post, service
 from tests.sockets import LOCAL
 from tests.waiting import until
 
@@ -34,7 +36,11 @@
     pipeline = RequestPipeline(lambda: service(slots), target, keys, clock, run_local)
     with PassingServer(keys, LOOPBACK, pipeline, clock).serving() as server:
         control = Address(LOCAL, server.address.port - 1)
-        yield Member("p", Role.SIDECAR, "z", "r", control, LOOPBACK), pipeline, server
+        yield (
+            Member("p", Role.SIDECAR, "z", "r", control, LOOPBACK, incarnation=1),
+            pipeline,
+            server,
+        )
 
 
 async def read(link: PassingLink, member: Member, request: Request, offer: int = 0):
@@ -60,9 +66,9 @@
                 async with link.pass_request(member, request, 0) as response:
                     await anext(response.body)
                 return
-            answer = await read(link, member, request)
+            got = await read(link, member, request)
             expected = f"POST {path} ".encode() + body + upstream.extra
-            assert answer == (200, None, expected)
+            assert got == (200, None, expected)
 
         await asyncio.gather(*(one(n) for n in range(40)))
 
@@ -80,13 +86,27 @@
         first = await link.ask(member, "short")
         assert first.offer_id
         assert (await link.ask(member, "short")).offer_id == 0
-        answer = await read(link, member, post("/a"), first.offer_id)
-        assert answer == (200, None, b"POST /a ")
+        got = await read(link, member, post("/a"), first.offer_id)
+        assert got == (200, None, b"POST /a ")
         second = await link.ask(member, "short")
         link.withdraw(member, second.offer_id)
         await until(lambda: not pipeline.state()["admission"]["offers"])
 
 
+async def test_keyed_and_overflowing_requests_run_at_the_peer() -> None:
+    clock, ran, own = SystemClock(), Upstream(0), Upstream(1)
+    async with peer(ran) as (member, pipeline, _), PassingLink(RING, clock) as link:
+        pool = Pool(lambda: [member], "own", "z", link, clock, Random(1))
+        target = TargetRef(Address(LOCAL, 1), service().service_id, 2)
+        origin = RequestPipeline(lambda: service(1), target, RING, clock, own, pool)
+        key = (await answer(pipeline, Request("GET", KEY_PATH)))[2].decode()
+        line = post("/lines", b"x", ("idempotency-key", key))
+        assert await answer(origin, line) == (200, None, b"POST /lines x")
+        answers = await asyncio.gather(*(answer(origin, post("/a")) for _ in range(2)))
+        assert answers == [(200, None, b"POST /a ")] * 2
+        assert (ran.started, own.started) == (["/lines", "/a"], ["/a"])
+
+
 async def test_refusal_of_the_peer_is_passed_with_its_outcome() -> None:
     async with (
         peer(Upstream(0)) as (member, pipeline, _),
--- a/tests/test_pipeline.py
+++ b/tests/test_pipeline.py
@@ -1,12 +1,16 @@
 """Requests at one sidecar: outcomes, deadlines, draining."""
 
 import asyncio
+from random import Random
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from cranberryhold.exceptions import NotRunError, OutcomeUnknownError
 from cranberryhold.exchange import KEY_PATH, OUTCOME_HEADER, Request
-from tests.requests_support import Fleet, answer, post, service
+from tests.requests_support import LONG, SHORT, Fleet, answer, post, service
+from tools.virtual_time import run_virtual
 
 pytestmark = pytest.mark.looptime
 
@@ -113,6 +117,29 @@
     assert late[:2] == (503, "not-run")
 
 
+@pytest.mark.parametrize("ticks", range(12))
+async def test_caller_that_leaves_as_its_slot_comes_gives_it_back(ticks) -> None:
+    fleet = Fleet(2, lambda: service(1))
+    fleet.peers.lost.add("t1")
+    running = asyncio.create_task(answer(fleet.pipelines[0], post("/a")))
+    await asyncio.sleep(0.05)
+    waiting = asyncio.create_task(answer(fleet.pipelines[0], post("/b")))
+    await running
+    for _ in range(ticks):
+        await asyncio.sleep(0)
+    waiting.cancel()
+    await asyncio.sleep(1)
+    assert fleet.pipelines[0].state()["admission"]["running"] == {}
+
+
+async def test_silent_peer_is_unknown_after_the_deadline() -> None:
+    fleet = Fleet(2, service)
+    fleet.peers.frozen.add("t1")
+    fleet.pipelines[0].begin_drain(grace_s=3)
+    async with asyncio.timeout(11):
+        assert (await answer(fleet.pipelines[0], post("/")))[:2] == (504, "unknown")
+
+
 async def test_request_without_a_local_slot_runs_at_a_peer() -> None:
     fleet = Fleet(3, lambda: service(1), seconds=1.0)
     requests = [answer(fleet.pipelines[0], Request("GET", f"/{i}")) for i in range(3)]
@@ -120,3 +147,51 @@
     assert [a[0] for a in await asyncio.gather(*requests)] == [200, 200, 200]
     assert asyncio.get_running_loop().time() - started < 1.1
     assert [len(u.started) for u in fleet.upstreams] == [1, 1, 1]
+
+
+@given(st.integers(0, 10**6))
+def test_not_run_is_never_said_of_what_reached_an_upstream(seed: int) -> None:
+    # Deadlines, sizes, refusals, lost peers and drains meet at random.
+    random = Random(seed)
+
+    async def one(fleet: Fleet, number: int) -> None:
+        await asyncio.sleep(random.random() / 2)
+        chunks = random.choice((0, 1, 3, 5))
+
+        async def body():
+            for _ in range(chunks):
+                await asyncio.sleep(random.choice((0, 0.05)))
+                yield b"x" * 50_000
+
+        deadline = str(random.choice((20, 120, 400, 5000)))
+        headers = (("cranberryhold-deadline-ms", deadline),)
+        path = f"/{random.choice(('upload/', ''))}{number}"
+        request = Request("POST", path, headers, body())
+        status, outcome, answered = await answer(
+            random.choice(fleet.pipelines), request
+        )
+        started = [p for u in fleet.upstreams for p in u.started]
+        assert started.count(path) <= 1
+        if outcome == "not-run":
+            assert path not in started
+        if status == 200:
+            assert answered == f"POST {path} ".encode() + b"x" * 50_000 * chunks
+
+    async def main() -> None:
+        small = SHORT.model_copy(update={"max_body_bytes": 200_000})
+        fleet = Fleet(3, lambda: service(1, classes=(LONG, small)))
+        tasks = [asyncio.create_task(one(fleet, n)) for n in range(25)]
+        await asyncio.sleep(random.random())
+        fleet.peers.lost.add("t1")
+        await asyncio.sleep(random.random() / 5)
+        fleet.pipelines[0].begin_drain(0.2)
+        await asyncio.gather(*tasks)
+        for pipeline in fleet.pipelines:
+            await pipeline.wait_idle()
+            assert pipeline.running == {}
+        await asyncio.sleep(0.3)
+        for pipeline in fleet.pipelines:
+            slots = pipeline.state()["admission"]
+            assert (slots["running"], slots["waiting"], slots["offers"]) == ({}, {}, 0)
+
+    run_virtual(main())
