Keep serving the open flows of an address that a manifest takes away

Cause: an entry instance closed the socket of a removed address at once, so that a planned change ended the flows on it; a sidecar whose service was removed dropped all packets. Change: released addresses stay in service for open flows, first packets on them are dropped; a sidecar whose service is gone drains; an address moves to another service only after the drain limit of its service (60 s before). Before: a packet of an open flow on a released address was not forwarded; after: forwarded, and the first packet dropped. The quarantine test now covers both limits.

--- a/src/cranberryhold/apply.py
+++ b/src/cranberryhold/apply.py
@@ -17,6 +17,7 @@
     AcceptedManifest,
     Manifest,
     ReleasedAddress,
+    Service,
     Submission,
     manifest_digest,
 )
@@ -25,8 +26,9 @@
 MANIFEST_KEY = "cranberryhold/manifest"
 # The store refuses values above 1 MB.
 MAX_DOCUMENT_BYTES = 1_000_000
-# Twenty times the 3 s in which a manifest is in force everywhere, so that no entry
-# instance still sends the address's packets to the previous service.
+# The shortest time for which a released address is kept from other services: twenty
+# times the 3 s in which a manifest is in force everywhere, so that no entry instance
+# still sends the address's packets to the previous service.
 ADDRESS_QUARANTINE_S = 60.0
 # At 1,200 changes a day a submission is remembered for 10 hours, in about 50 KB.
 REMEMBERED_SUBMISSIONS = 512
@@ -201,26 +203,25 @@
     """Return the addresses that are barred from other services after a change.
 
     :param now: seconds since the Unix epoch.
-    :raises ManifestError: if the change gives an address to another service less
-        than 60 s after it was released.
+    :raises ManifestError: if the change gives an address to another service before
+        the flows that use it may have ended.
     """
     if before is None:
         return ()
     owners = _owners(before.manifest)
-    barred = {
-        r.address: r
-        for r in before.released
-        if now - r.released_at < ADDRESS_QUARANTINE_S
-    }
+    barred = {r.address: r for r in before.released if now - r.released_at < r.kept_s}
     for address, service in owners.items():
         barred[address] = ReleasedAddress(
-            address=address, service=service, released_at=now
+            address=address,
+            service=service.name,
+            released_at=now,
+            kept_s=max(ADDRESS_QUARANTINE_S, service.drain.limit_s),
         )
     wanted = _owners(manifest)
     for address, service in wanted.items():
         record = barred.pop(address, None)
-        if record and record.service != service:
-            raise _moved(record, service, now, released=address not in owners)
+        if record and record.service != service.name:
+            raise _moved(record, service.name, now, released=address not in owners)
     return tuple(barred.values())
 
 
@@ -228,23 +229,24 @@
     record: ReleasedAddress, service: str, now: float, released: bool
 ) -> ManifestError:
     if released:
-        wait_s = ADDRESS_QUARANTINE_S - (now - record.released_at)
+        wait_s = record.kept_s - (now - record.released_at)
         remedy = f"try again in {wait_s:.0f} s"
     else:
         remedy = (
-            f"apply a manifest without it first, wait {ADDRESS_QUARANTINE_S:.0f} s, "
-            f"then give it to {service}"
+            f"apply a manifest without it first, wait {record.kept_s:.0f} s, then "
+            f"give it to {service}"
         )
     return ManifestError(
         f"address {record.address} belongs to service {record.service} and can't move "
-        f"to {service} until {ADDRESS_QUARANTINE_S:.0f} s after its release: {remedy}",
+        f"to {service} until {record.kept_s:.0f} s after its release, since open "
+        f"flows may use it for as long as the service's drain.limit_s: {remedy}",
         key=record.address,
         step="check addresses",
     )
 
 
-def _owners(manifest: Manifest) -> dict[str, str]:
-    return {a: s.name for s in manifest.services for a in s.addresses}
+def _owners(manifest: Manifest) -> dict[str, Service]:
+    return {a: s for s in manifest.services for a in s.addresses}
 
 
 def _encode(document: AcceptedManifest) -> bytes:
--- a/src/cranberryhold/daemon.py
+++ b/src/cranberryhold/daemon.py
@@ -6,6 +6,7 @@
 from contextlib import AsyncExitStack, asynccontextmanager, contextmanager
 from dataclasses import dataclass, field
 
+from cranberryhold.addresses import Address
 from cranberryhold.connection_ids import TargetRef
 from cranberryhold.consul import ConsulStore
 from cranberryhold.dump import DumpRequest, State, dump_handler, dump_on_signal
@@ -118,16 +119,18 @@
         self._sidecar = sidecar
         self._pipeline = pipeline
         self._monitor = monitor
+        self._service: Service | None = None
+        self._removed = False
         self._slow_start: asyncio.Task[None] | None = None
         self._draining: asyncio.Task[int] | None = None
 
     @property
     def service(self) -> Service | None:
-        """The own service in the manifest in force."""
-        accepted = self._node.manifests.current
-        if accepted is None:
-            return None
-        return accepted.manifest.service(self._settings.service)
+        """The own service as last declared.
+
+        It stays known when a manifest no longer has it, since its open flows go on.
+        """
+        return self._service
 
     def state(self) -> dict[str, object]:
         """Return the state for a dump."""
@@ -142,25 +145,36 @@
         }
 
     def apply_manifest(self, accepted: AcceptedManifest) -> None:
-        """Put a manifest in force."""
-        self._sidecar.apply_service(accepted.manifest.service(self._settings.service))
+        """Put a manifest in force; drain if it no longer has the own service."""
+        name = self._settings.service
+        service = accepted.manifest.service(name)
+        released = [
+            Address.parse(r.address) for r in accepted.released if r.service == name
+        ]
+        self._sidecar.apply_service(service, released)
+        if service is not None:
+            returned = self._service is not None and self._removed
+            self._service, self._removed = service, False
+            if returned:
+                self.follow_upstream(self._monitor.state)
+        elif self._service is not None and not self._removed:
+            self._removed = True
+            self._stop_taking_flows()
 
     def follow_upstream(self, state: UpstreamState) -> None:
         """Drain with the upstream, and start slowly when it is back."""
         log_event("upstream-state", upstream=self._settings.upstream, state=state.value)
-        if self._slow_start is not None:
-            self._slow_start.cancel()
-        if state is UpstreamState.OK:
-            self._take_new_flows()
-            return
-        self._node.membership.announce(weight=0)
+        self._cancel_slow_start()
         if state is UpstreamState.DRAINING:
-            self._start_drain()
+            self._stop_taking_flows()
+        elif state is UpstreamState.DOWN:
+            self._node.membership.announce(weight=0)
+        elif not self._removed:
+            self._take_new_flows()
 
     async def leave(self, cut_short: asyncio.Event) -> int:
         """Shut down gracefully; return the number of requests that were cut."""
-        if self._slow_start is not None:
-            self._slow_start.cancel()
+        self._cancel_slow_start()
         self._node.membership.announce(weight=0, leaving=True)
         drain = self._start_drain()
         await _first_of(asyncio.shield(drain), cut_short.wait())
@@ -176,6 +190,15 @@
             )
         return cut
 
+    def _cancel_slow_start(self) -> None:
+        if self._slow_start is not None:
+            self._slow_start.cancel()
+
+    def _stop_taking_flows(self) -> None:
+        self._cancel_slow_start()
+        self._node.membership.announce(weight=0)
+        self._start_drain()
+
     def _start_drain(self) -> asyncio.Task[int]:
         if self._draining is None:
             policy = self.service.drain if self.service else DrainPolicy()
--- a/src/cranberryhold/entry.py
+++ b/src/cranberryhold/entry.py
@@ -127,7 +127,7 @@
             before = self._ports.get(listen)
             wanted[listen] = _ServicePort(
                 listen,
-                self._tables[name],
+                self._targets_of(name, addresses[0]),
                 addresses,
                 addresses[0].pack(),
                 before.sock if before is not None else None,
@@ -178,8 +178,19 @@
                         step="open addresses",
                     )
                 wanted[listen] = (name, (*addresses, address))
+        for released in accepted.released:
+            address = Address.parse(released.address)
+            listen = Address(self._settings.listen_ip or address.ip, address.port)
+            wanted.setdefault(listen, (released.service, (address,)))
         return wanted
 
+    def _targets_of(self, name: str, address: Address) -> ServiceTargets:
+        """Return a service's targets; a released address takes no new flows."""
+        released = {r.address for r in self._accepted.released}
+        if str(address) in released:
+            return ServiceTargets.without_new_flows(name)
+        return self._tables[name]
+
     def _open_ports(self) -> None:
         for port in self._ports.values():
             if port.sock is not None:
--- a/src/cranberryhold/manifest.py
+++ b/src/cranberryhold/manifest.py
@@ -159,11 +159,19 @@
 
 
 class ReleasedAddress(_Model):
-    """An address that a service gave up, barred from others for a while."""
+    """An address that a service gave up.
+
+    Open flows are still served on it, so that they survive the change.
+    """
 
     address: str
     service: str
     released_at: float = Field(description="Seconds since the Unix epoch.")
+    kept_s: float = Field(
+        default=60.0,
+        description="Seconds for which open flows are served on the address, and it "
+        "can't go to another service.",
+    )
 
 
 class Submission(_Model):
--- a/src/cranberryhold/sidecar.py
+++ b/src/cranberryhold/sidecar.py
@@ -4,7 +4,7 @@
 import hashlib
 import random
 from collections import Counter
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Iterable
 from contextlib import asynccontextmanager, suppress
 
 from aioquic.h3.connection import H3_ALPN
@@ -99,9 +99,17 @@
         """Packets received, passed on and dropped, by reason."""
         return self._counts
 
-    def apply_service(self, service: Service | None) -> None:
-        """Take over the declaration of the own service; None refuses all packets."""
-        self._service_addresses = frozenset(service.endpoints if service else ())
+    def apply_service(
+        self, service: Service | None, released: Iterable[Address] = ()
+    ) -> None:
+        """Take over the declaration of the own service.
+
+        :param service: None if the manifest does not have it; no new connection is
+            taken then.
+        :param released: addresses that the service gave up, whose open flows go on.
+        """
+        endpoints = service.endpoints if service else ()
+        self._service_addresses = frozenset(endpoints).union(released)
         self._connection_limit = service.connections_per_target if service else 0
 
     @asynccontextmanager
--- a/src/cranberryhold/targets.py
+++ b/src/cranberryhold/targets.py
@@ -107,6 +107,13 @@
         self.table: MaglevTable | None = None
         """None until the first build."""
 
+    @classmethod
+    def without_new_flows(cls, name: str) -> "ServiceTargets":
+        """Return targets for an address that serves open flows only."""
+        targets = cls(name)
+        targets.table = MaglevTable([])
+        return targets
+
     def rebuild(self, members: MemberTable, now: float) -> MaglevTable:
         """Return the table for what is believed of the members now.
 
--- a/tests/test_apply.py
+++ b/tests/test_apply.py
@@ -28,7 +28,7 @@
     StoreError,
     StoreOutcomeUnknownError,
 )
-from cranberryhold.manifest import AcceptedManifest, Manifest, Service
+from cranberryhold.manifest import AcceptedManifest, DrainPolicy, Manifest, Service
 from cranberryhold.store import Versioned
 from emulator.key_values import KeyValues, MemoryStore
 
@@ -260,13 +260,26 @@
     assert await accepted_generations(store) == {"run-2": 3, "run-3": 4, "run-4": 5}
 
 
-@pytest.mark.parametrize(("waited_s", "moves"), [(59.9, False), (60.0, True)])
-async def test_address_moves_only_after_its_quarantine(
-    waited_s: float, moves: bool
+@pytest.mark.parametrize(
+    ("drain_limit_s", "waited_s", "moves"),
+    [
+        (10.0, 59.9, False),
+        (10.0, 60.0, True),
+        (600.0, 599.9, False),
+        (600.0, 600.0, True),
+    ],
+)
+async def test_address_moves_only_after_its_open_flows_have_ended(
+    drain_limit_s: float, waited_s: float, moves: bool
 ) -> None:
+    """Else the address's open flows would end at once, against a planned change."""
     store = MemoryStore()
+    drain = DrainPolicy(limit_s=drain_limit_s)
+    first = Manifest(
+        services=(Service(name="a", addresses=("127.0.0.1:1",), drain=drain),)
+    )
     steps = [
-        (manifest(a="127.0.0.1:1"), 0.0, True),
+        (first, 0.0, True),
         (manifest(b="127.0.0.1:1"), 1.0, False),
         (Manifest(), 2.0, True),
         (manifest(b="127.0.0.1:2"), 3.0, True),
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -11,7 +11,7 @@
 from cranberryhold.connection_ids import ConnectionIdCodec, TargetRef
 from cranberryhold.entry import Entry
 from cranberryhold.exceptions import ManifestError
-from cranberryhold.manifest import service_id
+from cranberryhold.manifest import ReleasedAddress, service_id
 from cranberryhold.members import MemberTable
 from cranberryhold.packets import Direction, ForwardCodec
 from cranberryhold.routing import Drop
@@ -80,6 +80,32 @@
         assert (state["forwarded"], state["returned"]) == (2, 1)
 
 
+@pytest.mark.parametrize("service_stays", [True, False])
+async def test_open_flows_go_on_at_an_address_that_was_released(
+    peers, service_stays: bool
+) -> None:
+    """A manifest that takes an address away must not end the flows that use it."""
+    caller, upstream = peers
+    kept, gone = Address(LOCAL, free_port()), Address(LOCAL, free_port())
+    ref = TargetRef(upstream.address, service_id("core"), 1)
+    packet = short(ConnectionIdCodec(RING).encode(ref, 1))
+    members = MemberTable()
+    members.merge(target("t1", str(upstream.address)))
+    async with running_entry(members, core=(str(kept), str(gone))) as (entry, _):
+        services = {"core": (str(kept),)} if service_stays else {}
+        record = ReleasedAddress(address=str(gone), service="core", released_at=0.0)
+        entry.apply_manifest(
+            accepted(2, **services).model_copy(update={"released": (record,)})
+        )
+        caller.send(initial(b"8 bytes!"), gone)
+        caller.send(packet, gone)
+        forwarded = TO_TARGET.decode((await upstream.receive())[0])
+        assert (forwarded.packet, forwarded.service_address) == (packet, gone)
+        assert entry.drops == {Drop.NO_TARGET: 1}
+        entry.apply_manifest(accepted(3, **services))
+        assert all(a["listen"] != str(gone) for a in entry.state()["addresses"])
+
+
 async def test_bad_replies_are_counted_and_reach_no_one(peers) -> None:
     caller, upstream = peers
     service = Address(CORE, free_port())
