--- a/src/cranberryhold/call.py
+++ b/src/cranberryhold/call.py
@@ -1,11 +1,11 @@
 """The command ``cranberryhold call``: one request from the command line."""
 
 import asyncio
+import logging
 import sys
 from collections.abc import AsyncIterator
 from contextlib import aclosing
 from dataclasses import dataclass
-from enum import IntEnum
 from pathlib import Path
 from urllib.parse import urlsplit
 
@@ -13,28 +13,17 @@
 
 from cranberryhold.caller import DEFAULT_DEADLINE_S, Answer, Body, Caller
 from cranberryhold.exceptions import (
-    AddressError,
     CranberryholdError,
+    KeyRequiredError,
     NotRunError,
-    OutcomeUnknownError,
     SettingsError,
 )
 from cranberryhold.exchange import IDEMPOTENCY_HEADER, Headers
+from cranberryhold.exit_codes import ExitCode, exit_code
 
 _CHUNK_BYTES = 64 * 1024
 
 
-class CallExit(IntEnum):
-    """Exit codes of the command."""
-
-    DONE = 0
-    FAILED = 1
-    USAGE = 2
-    NOT_REACHED = 4
-    NOT_RUN = 5
-    OUTCOME_UNKNOWN = 6
-
-
 @dataclass(frozen=True, slots=True)
 class CallOptions:
     """Options of the command; a parsed command line with the same names will do.
@@ -69,6 +58,8 @@
 
 async def run_call(options: CallOptions) -> int:
     """Send the request, print the answer and return the exit code."""
+    # The QUIC library logs what the error of the command says already.
+    logging.getLogger("quic").setLevel(logging.CRITICAL)
     try:
         _check(options)
         async with Caller.connect(
@@ -76,16 +67,19 @@
         ) as caller:
             if getattr(options, "follow", False):
                 await _follow(caller, options)
-                return CallExit.DONE
+                return ExitCode.DONE
             answer = await _send(caller, options)
         await asyncio.to_thread(_write, options.output, answer.body)
         if answer.status < 400:
-            return CallExit.DONE
-        return _report(CallExit.FAILED, f"the service answered status {answer.status}")
+            return ExitCode.DONE
+        return _report(ExitCode.FAILED, f"the service answered status {answer.status}")
+    except KeyRequiredError as error:
+        _show_key(error.key)
+        return _report(ExitCode.NOT_RUN, error)
     except CranberryholdError as error:
         return _report(_exit_code(error), error)
     except OSError as error:
-        return _report(CallExit.FAILED, error)
+        return _report(ExitCode.FAILED, error)
 
 
 def _check(options: CallOptions) -> None:
@@ -102,8 +96,7 @@
     key = options.idempotency_key
     if options.at_most_once and key is None:
         key = await caller.new_idempotency_key()
-        # Whoever repeats the call after a lost answer needs this key.
-        print(f"{IDEMPOTENCY_HEADER}: {key}", file=sys.stderr, flush=True)
+        _show_key(key)
     has_body = options.data is not None or options.upload is not None
     with _progress_bar(options) as bar:
         headers, body = _content(options, bar)
@@ -164,6 +157,11 @@
     return (parts.path or "/") + (f"?{parts.query}" if parts.query else "")
 
 
+def _show_key(key: str) -> None:
+    # Whoever repeats the call after a lost answer needs this key.
+    print(f"{IDEMPOTENCY_HEADER}: {key}", file=sys.stderr, flush=True)
+
+
 def _write(output: str | None, data: bytes) -> None:
     if output is not None:
         Path(output).write_bytes(data)
@@ -176,20 +174,12 @@
     return SettingsError(message, step="read options")
 
 
-def _exit_code(error: CranberryholdError) -> CallExit:
-    match error:
-        case AddressError() | SettingsError():
-            return CallExit.USAGE
-        case NotRunError(step="connect"):
-            return CallExit.NOT_REACHED
-        case NotRunError():
-            return CallExit.NOT_RUN
-        case OutcomeUnknownError():
-            return CallExit.OUTCOME_UNKNOWN
-        case _:
-            return CallExit.FAILED
+def _exit_code(error: CranberryholdError) -> ExitCode:
+    if isinstance(error, NotRunError) and error.step == "connect":
+        return ExitCode.NOT_REACHED
+    return exit_code(error)
 
 
-def _report(code: CallExit, error: object) -> int:
+def _report(code: ExitCode, error: object) -> int:
     print(f"cranberryhold call: {error}", file=sys.stderr)
     return code
--- a/src/cranberryhold/caller.py
+++ b/src/cranberryhold/caller.py
@@ -252,9 +252,11 @@
                 async with connection.exchange(request, self._authority) as response:
                     body = b"".join([chunk async for chunk in response.body])
         except TimeoutError as error:
-            kind = OutcomeUnknownError if sent else NotRunError
+            kind, step = (
+                (OutcomeUnknownError, "request") if sent else (NotRunError, "connect")
+            )
             raise kind(
-                "the deadline passed", step="request", peer=str(self._peer)
+                "the deadline passed", step=step, peer=str(self._peer)
             ) from error
         return self._checked(Answer(response.status, response.headers, body))
 
--- a/tests/test_call.py
+++ b/tests/test_call.py
@@ -6,7 +6,8 @@
 import pytest
 from aioquic.h3.connection import ErrorCode
 
-from cranberryhold.call import CallExit, CallOptions, run_call
+from cranberryhold.call import CallOptions, run_call
+from cranberryhold.exit_codes import ExitCode
 from tests.h3_service import h3_service
 
 
@@ -19,6 +20,10 @@
             incoming.reset(ErrorCode.H3_INTERNAL_ERROR)
         case "/missing":
             incoming.answer(404, b"not here")
+        case "/lines" if "idempotency-key" not in incoming.headers:
+            incoming.answer(
+                428, cranberryhold_outcome="not-run", idempotency_key="fresh"
+            )
         case "/feed":
             incoming.answer(200, b'{"sequence": 1}\n{"sequence": 2}\n')
         case "/.well-known/cranberryhold/idempotency-key":
@@ -50,13 +55,13 @@
 @pytest.mark.parametrize(
     ("path", "options", "code"),
     [
-        ("/", {}, CallExit.DONE),
-        ("/missing", {}, CallExit.FAILED),
-        ("/refuse", {}, CallExit.NOT_RUN),
-        ("/lose", {"method": "POST"}, CallExit.OUTCOME_UNKNOWN),
-        ("/", {"headers": ("no value",)}, CallExit.USAGE),
-        ("/", {"upload": "/no/such/file"}, CallExit.USAGE),
-        ("/", {"upload": "a", "data": "b"}, CallExit.USAGE),
+        ("/", {}, ExitCode.DONE),
+        ("/missing", {}, ExitCode.FAILED),
+        ("/refuse", {}, ExitCode.NOT_RUN),
+        ("/lose", {"method": "POST"}, ExitCode.OUTCOME_UNKNOWN),
+        ("/", {"headers": ("no value",)}, ExitCode.USAGE),
+        ("/", {"upload": "/no/such/file"}, ExitCode.USAGE),
+        ("/", {"upload": "a", "data": "b"}, ExitCode.USAGE),
     ],
 )
 async def test_exit_codes(call, path, options, code):
@@ -65,11 +70,11 @@
 
 async def test_a_service_that_refuses_the_connection_was_not_reached(service):
     """The system's authorities do not include the test's certificate."""
-    assert await run_call(CallOptions(service.url)) == CallExit.NOT_REACHED
+    assert await run_call(CallOptions(service.url)) == ExitCode.NOT_REACHED
 
 
 async def test_another_scheme_is_a_usage_error():
-    assert await run_call(CallOptions("http://127.0.0.1:1/")) == CallExit.USAGE
+    assert await run_call(CallOptions("http://127.0.0.1:1/")) == ExitCode.USAGE
 
 
 async def test_the_answer_goes_to_a_file(call, tmp_path):
@@ -86,6 +91,17 @@
     assert output.out.endswith(b" sealed-key")
 
 
+async def test_a_key_that_the_service_demands_is_shown(call, capsysbinary):
+    assert await call("/lines", data="x") == ExitCode.NOT_RUN
+    assert b"idempotency-key: fresh\n" in capsysbinary.readouterr().err
+
+
+async def test_a_deadline_before_the_connection_means_not_reached():
+    """Nobody listens there; the call has certainly not run."""
+    options = CallOptions("https://127.0.0.1:9/", insecure=True, deadline_s=0.1)
+    assert await run_call(options) == ExitCode.NOT_REACHED
+
+
 async def test_an_upload_shows_progress_on_a_terminal_only(
     call, tmp_path, monkeypatch, capsysbinary
 ):
@@ -95,16 +111,16 @@
 
     photo = tmp_path / "photo"
     photo.write_bytes(bytes(300_000))
-    assert await call("/upload", upload=str(photo)) == CallExit.DONE
+    assert await call("/upload", upload=str(photo)) == ExitCode.DONE
     assert capsysbinary.readouterr().err == b""
     terminal = Terminal()
     monkeypatch.setattr("sys.stderr", terminal)
-    assert await call("/upload", upload=str(photo)) == CallExit.DONE
+    assert await call("/upload", upload=str(photo)) == ExitCode.DONE
     assert "100%" in terminal.getvalue()
     digest = hashlib.sha256(bytes(300_000)).hexdigest().encode()
     assert digest in capsysbinary.readouterr().out
 
 
 async def test_a_feed_is_printed_line_by_line(call, capsysbinary):
-    assert await call("/feed", follow=True) == CallExit.DONE
+    assert await call("/feed", follow=True) == ExitCode.DONE
     assert capsysbinary.readouterr().out == b'{"sequence": 1}\n{"sequence": 2}\n'
--- /dev/null
+++ b/tests/test_demo.py
@@ -0,0 +1,59 @@
+"""The demo's own checks: one that can't fail would prove nothing."""
+
+import json
+
+import pytest
+
+from cranberryhold.caller import Answer
+from cranberryhold.exceptions import NotRunError, OutcomeUnknownError
+from tools.demo import Account, FeedWatch, LinePoster
+
+
+class ScriptedCaller:
+    """Answers each post with the next step, and notes the key it came with."""
+
+    def __init__(self, *steps):
+        self.steps = list(steps)
+        self.keys = []
+
+    async def new_idempotency_key(self):
+        return f"key-{len(self.keys)}"
+
+    async def request(self, method, path, *, body, idempotency_key, deadline_s):
+        self.keys.append((json.loads(body)["id"], idempotency_key))
+        step = self.steps.pop(0)
+        if isinstance(step, Exception):
+            raise step
+        return Answer(step, (), b"")
+
+
+@pytest.mark.parametrize(
+    ("steps", "keys"),
+    [
+        ((200,), ["key-0"]),
+        ((NotRunError("full"), 200), ["key-0", "key-1"]),
+        ((OutcomeUnknownError("lost"), 200), ["key-0", "key-0"]),
+        ((OutcomeUnknownError("lost"), NotRunError("full"), 200), ["key-0"] * 3),
+    ],
+)
+async def test_a_line_gets_a_new_key_only_if_it_has_certainly_not_run(steps, keys):
+    caller = ScriptedCaller(*steps)
+    poster = LinePoster()
+    await poster._post(caller, "line-1")
+    assert caller.keys == [("line-1", key) for key in keys]
+    assert poster.answered == ["line-1"]
+
+
+@pytest.mark.parametrize(
+    ("numbers", "faults"), [([4, 5, 6], 0), ([4, 6], 1), ([4, 5, 5, 6], 1), ([5, 4], 1)]
+)
+def test_gaps_and_repeats_are_counted(numbers, faults):
+    assert FeedWatch(numbers=numbers).gaps_and_repeats == faults
+
+
+def test_a_check_that_does_not_hold_fails_the_demo(capsys):
+    account = Account()
+    account.check(True, "one")
+    account.check(False, "two")
+    assert account.failures == 1
+    assert "FAILED two" in capsys.readouterr().out
