Let targets of a service tell each other their load

Cause: bounded load was decided but not wired, and the pool knew a peer's load only after asking it. Not measured yet in the daemons.

--- a/src/cranberryhold/messages.py
+++ b/src/cranberryhold/messages.py
@@ -179,6 +179,21 @@
     heartbeat: Heartbeat
 
 
+class ServiceLoad(Datagram, tag=14):
+    """How busy a target is, told to the other targets of its service.
+
+    :param connections: open connections of callers.
+    :param running: requests that hold a slot.
+    :param waiting: requests that wait for one.
+    """
+
+    sender: str
+    connections: int
+    running: int
+    waiting: int
+    slots: int
+
+
 _TYPES = (
     Ping
     | Ack
@@ -193,6 +208,7 @@
     | Announcement
     | StatusRequest
     | Status
+    | ServiceLoad
 )
 
 _encoder = Encoder()
--- a/src/cranberryhold/sidecar.py
+++ b/src/cranberryhold/sidecar.py
@@ -4,7 +4,7 @@
 import hashlib
 import random
 from collections import Counter
-from collections.abc import AsyncIterator, Iterable
+from collections.abc import AsyncIterator, Callable, Iterable, Mapping
 from contextlib import asynccontextmanager, suppress
 
 from aioquic.h3.connection import H3_ALPN
@@ -25,6 +25,7 @@
     is_first_packet,
     read_connection_id,
 )
+from cranberryhold.placement import passes_on
 from cranberryhold.quic import SidecarQuicServer
 from cranberryhold.return_paths import ReturnPaths
 
@@ -32,6 +33,8 @@
 # Idle connections stay open this long after GOAWAY, so that a caller that ignored
 # it is told "not run" and does not lose a request with its connection.
 GOAWAY_LINGER_S = 10.0
+# With fewer connections an uneven share costs nothing, and chance makes it uneven.
+BOUNDED_LOAD_FROM = 32
 
 
 class Sidecar(asyncio.DatagramProtocol):
@@ -46,6 +49,8 @@
     :param clock: source of time.
     :param configuration: TLS certificate and transport settings.
     :param handler: answers requests.
+    :param peer_connections: returns the open connections of the other targets of
+        the service by node id, as last heard from them.
     """
 
     def __init__(
@@ -60,7 +65,9 @@
         clock: Clock,
         configuration: QuicConfiguration,
         handler: Handler,
+        peer_connections: Callable[[], Mapping[str, int]] = dict,
     ) -> None:
+        self._peer_connections = peer_connections
         self._node_id = node_id
         self._service_name = service
         self._members = members
@@ -224,23 +231,31 @@
         self._transport.sendto(header + packet, (entry.ip, entry.port))
 
     def _pass_on(self, datagram: bytes, packet: bytes, source: Address) -> bool:
-        """Pass a first packet to a peer if this target takes no new connections."""
+        """Pass a first packet to a peer, or refuse it, if it is not for this target."""
         connection_id = read_connection_id(packet)
         if not is_first_packet(packet) or self._server.knows(connection_id):
             return False
-        if not self._draining and self.connections < self._connection_limit:
-            return False
-        peer = self._peer_for(connection_id or b"")
         # One that was passed on before came from a sidecar; it goes no further.
-        if peer is None or self._is_peer(source):
-            self._counts["refused_connections"] += 1
-            return True
+        passed_on = self._is_peer(source)
+        is_full = self._draining or self.connections >= self._connection_limit
+        if not is_full and not self._is_overloaded(passed_on):
+            return False
+        peer = None if passed_on else self._peer_for(connection_id or b"", is_full)
+        if peer is None:
+            self._counts["refused_connections"] += is_full
+            return is_full
         self._counts["passed_on_connections"] += 1
         self._transport.sendto(
             datagram, (peer.forward_address.ip, peer.forward_address.port)
         )
         return True
 
+    def _is_overloaded(self, passed_on: bool) -> bool:
+        if self.connections < BOUNDED_LOAD_FROM:
+            return False
+        peers = list(self._peer_connections().values())
+        return passes_on(self.connections, peers, passed_on)
+
     def _peers(self) -> list[Member]:
         return [
             m
@@ -251,10 +266,20 @@
     def _is_peer(self, source: Address) -> bool:
         return any(m.forward_address == source for m in self._peers())
 
-    def _peer_for(self, connection_id: bytes) -> Member | None:
-        """Choose by rendezvous hash, so that a repeated first packet goes alike."""
+    def _peer_for(self, connection_id: bytes, any_load: bool) -> Member | None:
+        """Choose by rendezvous hash, so that a repeated first packet goes alike.
+
+        :param any_load: whether peers with more connections than this target may
+            be chosen.
+        """
+        counts = self._peer_connections()
         return max(
-            (m for m in self._peers() if m.accepts_new_flows),
+            (
+                m
+                for m in self._peers()
+                if m.accepts_new_flows
+                and (any_load or counts.get(m.node_id, 0) < self.connections)
+            ),
             key=lambda m: hashlib.sha256(connection_id + m.node_id.encode()).digest(),
             default=None,
         )
