Pool the slots of a service in the daemons

Cause: requests were not passed between targets in the daemons. Change: the passing transport and the exchange of loads run in each sidecar.

--- a/src/cranberryhold/daemon.py
+++ b/src/cranberryhold/daemon.py
@@ -5,20 +5,25 @@
 from collections.abc import AsyncIterator, Iterator
 from contextlib import AsyncExitStack, asynccontextmanager, contextmanager
 from dataclasses import dataclass, field
+from random import Random
 
 from cranberryhold.addresses import Address
 from cranberryhold.connection_ids import TargetRef
 from cranberryhold.consul import ConsulStore
 from cranberryhold.dump import DumpRequest, State, dump_handler, dump_on_signal
+from cranberryhold.duties import performing
 from cranberryhold.entry import Entry
 from cranberryhold.exceptions import ManifestError
+from cranberryhold.loads import LoadExchange
 from cranberryhold.logs import log_event
 from cranberryhold.manifest import AcceptedManifest, DrainPolicy, Service, service_id
 from cranberryhold.members import Role
 from cranberryhold.metrics import sending_metrics
 from cranberryhold.node import Node, running_node
+from cranberryhold.passing import PassingLink, PassingServer, passing_address
 from cranberryhold.pipeline import RequestPipeline
 from cranberryhold.placement import slow_start_schedule, slow_start_weight
+from cranberryhold.pool import Pool
 from cranberryhold.settings import EntrySettings, NodeSettings, SidecarSettings
 from cranberryhold.sidecar import Sidecar, quic_configuration
 from cranberryhold.upstream import UpstreamMonitor, UpstreamState, open_upstream
@@ -249,8 +254,34 @@
         def service() -> Service | None:
             return daemon.service
 
+        link = await stack.enter_async_context(
+            PassingLink(settings.node.keys, node.clock)
+        )
+        pool = Pool(
+            lambda: node.members.of_service(settings.service),
+            settings.node.node_id,
+            settings.node.zone,
+            link,
+            node.clock,
+            Random(),
+        )
         pipeline = RequestPipeline(
-            service, target, settings.node.keys, node.clock, upstream.run
+            service, target, settings.node.keys, node.clock, upstream.run, pool
+        )
+        stack.enter_context(
+            PassingServer(
+                settings.node.keys,
+                passing_address(node.me.control_address),
+                pipeline,
+                node.clock,
+            ).serving()
+        )
+        loads = LoadExchange(
+            node.membership,
+            lambda: (sidecar.connections, pipeline.load),
+            pool.note_load,
+            clock=node.clock,
+            rng=Random(),
         )
         sidecar = Sidecar(
             target=target,
@@ -264,13 +295,14 @@
                 settings.certificate_path, settings.private_key_path
             ),
             handler=pipeline,
+            peer_connections=loads.connections,
         )
         monitor = UpstreamMonitor(upstream, settings.health_path)
         daemon = SidecarDaemon(settings, node, sidecar, pipeline, monitor)
         await stack.enter_async_context(sidecar.serving(settings.forward_address))
         node.manifests.accepted.subscribe(daemon.apply_manifest)
         monitor.changes.subscribe(daemon.follow_upstream)
-        stack.enter_context(_background(monitor.run()))
+        await stack.enter_async_context(performing(node.clock, monitor.run, loads.run))
         await _enter_reports(stack, settings.node, node, daemon.state)
         yield daemon
 
@@ -309,15 +341,6 @@
         )
 
 
-@contextmanager
-def _background(coroutine) -> Iterator[None]:
-    task = asyncio.ensure_future(coroutine)
-    try:
-        yield
-    finally:
-        task.cancel()
-
-
 async def _first_of(*awaitables) -> None:
     tasks = [asyncio.ensure_future(a) for a in awaitables]
     await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
--- a/src/cranberryhold/pipeline.py
+++ b/src/cranberryhold/pipeline.py
@@ -6,7 +6,7 @@
 from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import replace
 
-from cranberryhold.admission import Admission, Lease
+from cranberryhold.admission import Admission, Lease, Load
 from cranberryhold.bodies import RequestBody, seconds_left, until_deadline
 from cranberryhold.clock import Clock
 from cranberryhold.connection_ids import TargetRef
@@ -81,6 +81,11 @@
         """Requests that run on the local upstream, by class."""
         return {name: count for name, count in self._running.items() if count}
 
+    @property
+    def load(self) -> Load:
+        """How busy the slots of this target are."""
+        return self._admission.load
+
     @property
     def is_draining(self) -> bool:
         """Whether :meth:`begin_drain` was called."""
@@ -122,9 +127,9 @@
         classes = service.classes if service is not None else ()
         request_class = next((c for c in classes if c.name == class_name), None)
         if request_class is None or self.is_draining:
-            return SlotAnswer(0, self._admission.load)
+            return SlotAnswer(0, self.load)
         offer_id = self._admission.offer(request_class)
-        return SlotAnswer(offer_id, self._admission.load)
+        return SlotAnswer(offer_id, self.load)
 
     def withdraw_offer(self, offer_id: int) -> None:
         """Free the slot of an offer that the peer does not need."""
