Wait for a key that does not exist yet; take a server error as unknown

Cause: the service answers a blocking query with index 0 at once, so that a watch polled until a first manifest was accepted: 5 watches in 3 s were counted on one entry instance. The rule that status 500 leaves a write's outcome unknown had no test.

Change: a watch on a missing key waits from the index that the service names, at most once a second where other keys wake it. The stand-in can answer a write that took effect with status 500. The dump tests use the asynchronous context of the control server.

--- a/emulator/key_values.py
+++ b/emulator/key_values.py
@@ -40,6 +40,8 @@
 
     :param down: no call is answered or takes effect.
     :param lose_answers: how many of the next writes take effect without an answer.
+    :param error_answers: how many of the next writes take effect and are answered
+        with status 500 (over HTTP).
     :param lose_requests: how many of the next writes are lost before they take effect.
     :param delay_s: seconds that pass before a call takes effect.
     :param answer_delay_s: seconds that pass before a call is answered.
@@ -47,6 +49,7 @@
 
     down: bool = False
     lose_answers: int = 0
+    error_answers: int = 0
     lose_requests: int = 0
     delay_s: float = 0.0
     answer_delay_s: float = 0.0
@@ -280,7 +283,9 @@
         """Wait for a change of a key."""
         self.key_values.calls.watches += 1
         await self._before("watch")
-        entry = await self.key_values.watch(key, after_revision, timeout_s)
+        exists = self.key_values.get(key) is not None
+        index = after_revision if exists else self.key_values.index
+        entry = await self.key_values.watch(key, index, timeout_s)
         await self._after("watch")
         changed = entry and entry.modify_index != after_revision
         return _versioned(entry) if changed else None
--- a/emulator/platform.py
+++ b/emulator/platform.py
@@ -79,7 +79,12 @@
             return _cut(request)
         response = await handler(request)
         await pause(clock, faults.answer_delay_s)
-        return _cut(request) if faults.cut_after(is_write) else response
+        if faults.cut_after(is_write):
+            return _cut(request)
+        if is_write and faults.error_answers > 0:
+            faults.error_answers -= 1
+            return web.Response(status=500, text="leadership lost while writing")
+        return response
 
     def _count(self, request: web.Request) -> bool:
         calls = self.key_values.calls
--- a/src/cranberryhold/consul.py
+++ b/src/cranberryhold/consul.py
@@ -1,5 +1,6 @@
 """The platform's key-value service over the published Consul KV HTTP interface."""
 
+import asyncio
 import base64
 import json
 from collections.abc import AsyncIterator
@@ -28,6 +29,8 @@
 CALL_TIMEOUT_S = 5.0
 # The service may hold a watch 1/16 longer than asked, to spread the answers.
 WATCH_JITTER = 1 / 16
+# A watch on a key that does not exist wakes with the writes of other keys.
+WATCH_PAUSE_S = 1.0
 LEASE_PREFIX = "cranberryhold/leases/"
 
 
@@ -35,6 +38,7 @@
 class _Answer:
     status: int
     body: bytes
+    index: int
 
     def json(self) -> object:
         return json.loads(self.body)
@@ -99,10 +103,24 @@
         only after the whole ``timeout_s``, since the service waits for a higher
         revision.
         """
-        query = {"index": str(after_revision), "wait": f"{timeout_s * 1000:.0f}ms"}
-        limit_s = timeout_s * (1 + WATCH_JITTER) + self._call_timeout_s
-        answer = _versioned(await self._read("watch key", key, query, limit_s))
-        return answer if answer and answer.revision != after_revision else None
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + timeout_s
+        index = after_revision
+        while True:
+            left_s = max(0.0, deadline - loop.time())
+            query = {"index": str(index), "wait": f"{left_s * 1000:.0f}ms"}
+            limit_s = left_s * (1 + WATCH_JITTER) + self._call_timeout_s
+            answer = await self._read("watch key", key, query, limit_s)
+            found = _versioned(answer)
+            if found and found.revision != after_revision:
+                return found
+            if loop.time() + WATCH_PAUSE_S >= deadline:
+                return None
+            # The service answers index 0 at once; for a key that does not exist it
+            # waits only from its own index on.
+            if index > 0:
+                await asyncio.sleep(WATCH_PAUSE_S)
+            index = max(1, answer.index)
 
     async def acquire_lease(self, name: str, ttl_s: float) -> Lease | None:
         """Take a lease, or return None if another holds it.
@@ -186,7 +204,12 @@
         async with self._session.request(
             method, self._url + path, params=query, data=body, timeout=timeout
         ) as response:
-            return _Answer(response.status, await response.read())
+            index = response.headers.get("X-Consul-Index", "")
+            return _Answer(
+                response.status,
+                await response.read(),
+                int(index) if index.isdecimal() else 0,
+            )
 
     def _not_reached(self, step: str, error: Exception) -> StoreError:
         return StoreError(
--- a/tests/test_consul.py
+++ b/tests/test_consul.py
@@ -68,6 +68,17 @@
     assert stored.value == b"one"
 
 
+async def test_error_of_the_service_leaves_the_outcome_unknown(
+    store: ConsulStore, key_values: KeyValues
+) -> None:
+    """The service may have written before it lost its leader."""
+    key_values.faults.error_answers = 1
+    with pytest.raises(StoreOutcomeUnknownError, match="status 500"):
+        await store.compare_and_swap(KEY, b"one", 0)
+    stored = await read(store)
+    assert stored.value == b"one"
+
+
 async def test_lost_request_is_unknown_and_changes_nothing(
     store: ConsulStore, key_values: KeyValues
 ) -> None:
@@ -80,11 +91,12 @@
 async def test_slow_answer_is_given_up_within_the_limit(
     store: ConsulStore, key_values: KeyValues
 ) -> None:
-    key_values.faults.answer_delay_s = 5.0
-    with pytest.raises(StoreOutcomeUnknownError):
-        await store.compare_and_swap(KEY, b"one", 0)
-    with pytest.raises(StoreError, match="was not reached") as caught:
-        await store.get(KEY)
+    key_values.faults.answer_delay_s = 60.0
+    async with asyncio.timeout(10.0):
+        with pytest.raises(StoreOutcomeUnknownError):
+            await store.compare_and_swap(KEY, b"one", 0)
+        with pytest.raises(StoreError, match="was not reached") as caught:
+            await store.get(KEY)
     assert caught.value.step == "read key"
     key_values.faults.answer_delay_s = 0.0
     stored = await read(store)
@@ -124,7 +136,7 @@
     await store.compare_and_swap(KEY, b"one", 0)
     first = await read(store)
     watch = asyncio.create_task(store.watch(KEY, first.revision, 30.0))
-    await key_values.watching.wait()
+    await asyncio.wait_for(key_values.watching.wait(), 5.0)
     await store.compare_and_swap("cranberryhold/other", b"x", 0)
     await store.compare_and_swap(KEY, b"two", first.revision)
     changed = await asyncio.wait_for(watch, 5.0)
@@ -133,6 +145,19 @@
     assert key_values.calls.watches == 1
 
 
+async def test_watch_waits_for_a_key_that_does_not_exist_yet(
+    store: ConsulStore, key_values: KeyValues
+) -> None:
+    """Index 0 is answered at once, so that a plain watch would poll."""
+    watch = asyncio.create_task(store.watch(KEY, 0, 30.0))
+    await asyncio.wait_for(key_values.watching.wait(), 5.0)
+    await store.compare_and_swap(KEY, b"one", 0)
+    changed = await asyncio.wait_for(watch, 5.0)
+    assert changed
+    assert changed.value == b"one"
+    assert key_values.calls.watches == 2
+
+
 async def test_watch_without_a_change_returns_none(store: ConsulStore) -> None:
     assert await store.watch(KEY, 0, 0.05) is None
     await store.compare_and_swap(KEY, b"one", 0)
--- a/tests/test_dump.py
+++ b/tests/test_dump.py
@@ -22,7 +22,7 @@
     keys = KeyRing.generate()
     state = {"flows": 0, "address": Address("127.0.0.1", 1)}
     handlers = {DumpRequest: dump_handler(lambda: state)}
-    with ControlServer(keys, ANY_PORT, handlers).serving() as server:
+    async with ControlServer(keys, ANY_PORT, handlers).serving() as server:
         state["flows"] = 5
         answer = await request_dump(keys, server.address, 5.0)
     assert answer == {"flows": 5, "address": "127.0.0.1:1"}
@@ -30,7 +30,7 @@
 
 async def test_member_that_is_gone_is_named() -> None:
     keys = KeyRing.generate()
-    with ControlServer(keys, ANY_PORT).serving() as server:
+    async with ControlServer(keys, ANY_PORT).serving() as server:
         gone = server.address
     with pytest.raises(PeerError) as caught:
         await request_dump(keys, gone, 0.2)
