--- a/tests/test_manifest_text.py
+++ b/tests/test_manifest_text.py
@@ -3,10 +3,13 @@
 Guards against a misspelt key that silently leaves a default in force.
 """
 
+import re
+import shlex
 from pathlib import Path
 
 import pytest
 
+from cranberryhold.cli import build_parser
 from cranberryhold.exceptions import ManifestError
 from cranberryhold.manifest import ClassKind, Manifest, Service
 from cranberryhold.manifest_text import format_errors, load_manifest, manifest_schema
@@ -118,6 +121,19 @@
     assert intake.classes[0].kind is ClassKind.LONG
 
 
+def test_task_page_shows_the_examples_and_commands_that_exist() -> None:
+    page = (EXAMPLES.parent / "docs" / "manifest.md").read_text()
+    shown = re.findall(r"```yaml\n(.*?)```", page, re.DOTALL)
+    assert shown == [
+        (EXAMPLES / name).read_text()
+        for name in ("himal-byanjan.yaml", "gebeya-herdcount.yaml")
+    ]
+    commands = re.findall(r"^cranberryhold (.*)$", page, re.MULTILINE)
+    assert len(commands) == 3
+    for command in commands:
+        build_parser().parse_args(shlex.split(command))
+
+
 def test_schema_describes_every_key_of_a_service() -> None:
     schema = manifest_schema()
     described = schema["$defs"]["Service"]["properties"]
