Decode ids and headers on the packet path without building objects

Cause: per packet, building targets and addresses cost as much as decrypting. Change: decode_route and decode_packed return packed fields.

--- a/src/cranberryhold/connection_ids.py
+++ b/src/cranberryhold/connection_ids.py
@@ -7,9 +7,10 @@
 """
 
 import struct
+from collections.abc import Callable
 from dataclasses import dataclass
 
-from cryptography.hazmat.primitives.ciphers import Cipher, CipherContext
+from cryptography.hazmat.primitives.ciphers import Cipher
 from cryptography.hazmat.primitives.ciphers.algorithms import AES
 from cryptography.hazmat.primitives.ciphers.modes import ECB
 
@@ -18,6 +19,7 @@
 
 CONNECTION_ID_BYTES = 20
 _BLOCK = struct.Struct("!6sIIH")
+_ROUTE = struct.Struct("!6sI6x")
 _TAG_BYTES = 3
 
 
@@ -35,11 +37,14 @@
     incarnation: int
 
 
+_Transform = Callable[[bytes], bytes]
+
+
 @dataclass(frozen=True, slots=True)
 class _Contexts:
-    encrypt: CipherContext
-    decrypt: CipherContext
-    tag: CipherContext
+    encrypt: _Transform
+    decrypt: _Transform
+    tag: _Transform
 
 
 class ConnectionIdCodec:
@@ -55,7 +60,7 @@
         :param serial: makes ids of one target distinct; used modulo 65,536.
         """
         contexts = self._contexts[self._issuing_id]
-        block = contexts.encrypt.update(
+        block = contexts.encrypt(
             _BLOCK.pack(
                 target.address.pack(),
                 target.service_id,
@@ -63,21 +68,36 @@
                 serial & 0xFFFF,
             )
         )
-        tag = contexts.tag.update(block)[:_TAG_BYTES]
+        tag = contexts.tag(block)[:_TAG_BYTES]
         return bytes((self._issuing_id,)) + block + tag
 
     def decode(self, connection_id: bytes) -> TargetRef | None:
         """Return the target that an id names, or None for an id not issued here."""
+        block = self._open(connection_id)
+        if block is None:
+            return None
+        address, service, incarnation, _ = _BLOCK.unpack(block)
+        return TargetRef(Address.unpack(address), service, incarnation)
+
+    def decode_route(self, connection_id: bytes) -> tuple[bytes, int] | None:
+        """Return packed address (6 bytes) and service id only, or None.
+
+        It serves the path of each packet, where building a target costs as much as
+        the decryption.
+        """
+        block = self._open(connection_id)
+        return None if block is None else _ROUTE.unpack(block)
+
+    def _open(self, connection_id: bytes) -> bytes | None:
         if len(connection_id) != CONNECTION_ID_BYTES:
             return None
         contexts = self._contexts.get(connection_id[0])
         if contexts is None:
             return None
         block = connection_id[1:17]
-        if contexts.tag.update(block)[:_TAG_BYTES] != connection_id[17:]:
+        if contexts.tag(block)[:_TAG_BYTES] != connection_id[17:]:
             return None
-        address, service, incarnation, _ = _BLOCK.unpack(contexts.decrypt.update(block))
-        return TargetRef(Address.unpack(address), service, incarnation)
+        return contexts.decrypt(block)
 
 
 def _contexts(keys: KeyRing, key_id: int) -> _Contexts:
@@ -85,4 +105,6 @@
     # building one costs far more than a block.
     block = Cipher(AES(keys.derive(b"connection id", key_id)), ECB())
     tag = Cipher(AES(keys.derive(b"connection id tag", key_id)), ECB())
-    return _Contexts(block.encryptor(), block.decryptor(), tag.encryptor())
+    return _Contexts(
+        block.encryptor().update, block.decryptor().update, tag.encryptor().update
+    )
--- a/src/cranberryhold/entry.py
+++ b/src/cranberryhold/entry.py
@@ -71,7 +71,7 @@
         self._to_caller = ForwardCodec(keys, Direction.TO_CALLER)
         self._accepted: AcceptedManifest | None = None
         self._ports: dict[Address, _ServicePort] = {}
-        self._reply_ports: dict[Address, _ServicePort] = {}
+        self._reply_ports: dict[bytes, _ServicePort] = {}
         self._forward: socket.socket | None = None
         self._counts: Counter[str] = Counter()
         self._drops: Counter[Drop] = Counter()
@@ -133,7 +133,7 @@
                 before.sock if before is not None else None,
             )
         self._ports = wanted
-        self._reply_ports = {a: p for p in wanted.values() for a in p.addresses}
+        self._reply_ports = {a.pack(): p for p in wanted.values() for a in p.addresses}
         if self._forward is not None:
             self._open_ports()
         logger.info(
@@ -252,7 +252,7 @@
         self._counts["forwarded"] += forwarded
 
     def _take_replies(self, sock: socket.socket) -> None:
-        decode, ports = self._to_caller.decode, self._reply_ports
+        decode, ports = self._to_caller.decode_packed, self._reply_ports
         for _ in range(_BATCH_PACKETS):
             try:
                 datagram = sock.recv(_RECEIVE_BYTES)
@@ -261,17 +261,18 @@
             if len(datagram) == _RECEIVE_BYTES:
                 self._drops[Drop.OVERSIZED] += 1
                 continue
-            reply = decode(datagram)
-            if reply is None:
+            addresses = decode(datagram)
+            if addresses is None:
                 self._drops[Drop.FORGED_HEADER] += 1
                 continue
-            port = ports.get(reply.service_address)
+            caller, service_address = addresses
+            port = ports.get(service_address)
             if port is None or port.sock is None:
                 self._drops[Drop.UNKNOWN_ADDRESS] += 1
                 continue
-            caller = reply.caller
+            packet = datagram[FORWARD_HEADER_BYTES:]
             try:
-                port.sock.sendto(reply.packet, (caller.ip, caller.port))
+                port.sock.sendto(packet, _unpack(caller))
             except OSError:
                 self._drops[Drop.SEND_FAILED] += 1
             else:
--- a/src/cranberryhold/packets.py
+++ b/src/cranberryhold/packets.py
@@ -99,8 +99,8 @@
             key_id: Cipher(AES(keys.derive(direction.value, key_id)), ECB())
             for key_id in keys.key_ids
         }
-        self._encrypt = ciphers[keys.issuing_id].encryptor()
-        self._decrypt = {i: cipher.decryptor() for i, cipher in ciphers.items()}
+        self._encrypt = ciphers[keys.issuing_id].encryptor().update
+        self._decrypt = {i: c.decryptor().update for i, c in ciphers.items()}
 
     def header(self, caller: Address, service_address: Address) -> bytes:
         """Return the 17 bytes that go before a packet."""
@@ -109,20 +109,26 @@
     def header_for(self, caller: bytes, service_address: bytes) -> bytes:
         """Return the header for two packed addresses of 6 bytes each."""
         block = _FORWARD.pack(caller, service_address, 0)
-        return self._key_id + self._encrypt.update(block)
+        return self._key_id + self._encrypt(block)
 
     def decode(self, datagram: bytes) -> Forwarded | None:
         """Return the packet inside, or None if the header is not authentic."""
-        if len(datagram) <= FORWARD_HEADER_BYTES:
-            return None
-        decryptor = self._decrypt.get(datagram[0])
-        if decryptor is None:
-            return None
-        caller, service, check = _FORWARD.unpack(decryptor.update(datagram[1:17]))
-        if check:
+        addresses = self.decode_packed(datagram)
+        if addresses is None:
             return None
+        caller, service = addresses
         return Forwarded(
             Address.unpack(caller),
             Address.unpack(service),
             datagram[FORWARD_HEADER_BYTES:],
         )
+
+    def decode_packed(self, datagram: bytes) -> tuple[bytes, bytes] | None:
+        """Return caller and service address, packed, or None as :meth:`decode`."""
+        if len(datagram) <= FORWARD_HEADER_BYTES:
+            return None
+        decrypt = self._decrypt.get(datagram[0])
+        if decrypt is None:
+            return None
+        caller, service, check = _FORWARD.unpack(decrypt(datagram[1:17]))
+        return None if check else (caller, service)
--- a/src/cranberryhold/routing.py
+++ b/src/cranberryhold/routing.py
@@ -45,7 +45,7 @@
     """
 
     def __init__(self, keys: KeyRing, tables: TargetTables) -> None:
-        self._decode = ConnectionIdCodec(keys).decode
+        self._decode = ConnectionIdCodec(keys).decode_route
         self._tables = tables
 
     def route(self, service: ServiceTargets, packet: bytes) -> bytes | Drop:
@@ -59,11 +59,12 @@
         if connection_id is None:
             return Drop.TRUNCATED
         if len(connection_id) == CONNECTION_ID_BYTES:
-            target = self._decode(connection_id)
-            if target is not None:
-                if target.service_id != service.service_id:
+            route = self._decode(connection_id)
+            if route is not None:
+                address, service_id = route
+                if service_id != service.service_id:
                     return Drop.OTHER_SERVICE
-                return target.address.pack()
+                return address
         if not packet[0] & _LONG_HEADER:
             return Drop.UNKNOWN_ID
         if not is_first_packet(packet):
