--- a/src/cranberryhold/distribution.py
+++ b/src/cranberryhold/distribution.py
@@ -436,7 +436,7 @@
     try:
         return await _query(link, addresses, timeout_s)
     finally:
-        link.close()
+        await link.close()
 
 
 async def _query(
--- a/src/cranberryhold/links.py
+++ b/src/cranberryhold/links.py
@@ -120,10 +120,12 @@
         """Wait for a datagram; return it opened, with its sender."""
         return await self._queue.get()
 
-    def close(self) -> None:
-        """Close the socket."""
+    async def close(self) -> None:
+        """Close the socket; the port is free afterwards."""
         if self._transport is not None:
             self._transport.close()
+            # The transport closes its socket in the next cycle of the event loop.
+            await asyncio.sleep(0)
 
 
 Impairment = Callable[[Address, Address], float | None]
--- a/src/cranberryhold/node.py
+++ b/src/cranberryhold/node.py
@@ -1,7 +1,7 @@
 """What every daemon runs: membership, manifest distribution and the control port."""
 
 from collections.abc import AsyncIterator
-from contextlib import AsyncExitStack, asynccontextmanager, contextmanager
+from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass
 from random import Random
 
@@ -12,6 +12,7 @@
 from cranberryhold.control import ControlClient, ControlServer
 from cranberryhold.distribution import ManifestReader, ManifestSpread, ManifestState
 from cranberryhold.duties import performing
+from cranberryhold.exceptions import PeerError
 from cranberryhold.links import UdpLink
 from cranberryhold.members import Member, MemberTable, Role, incarnation_at
 from cranberryhold.membership import Membership
@@ -19,6 +20,8 @@
 from cranberryhold.settings import NodeSettings
 from cranberryhold.store import Store
 
+PORT_TRIES = 10
+
 
 @dataclass(frozen=True, slots=True)
 class Node:
@@ -95,10 +98,7 @@
     """
     clock, rng = SystemClock(), rng or Random()
     async with AsyncExitStack() as stack:
-        link = await UdpLink.open(settings.control_address, settings.keys)
-        stack.enter_context(_closing(link))
-        control = ControlServer(settings.keys, link.address)
-        await stack.enter_async_context(control.serving())
+        link, control = await stack.enter_async_context(_control_port(settings))
         client = await stack.enter_async_context(ControlClient(settings.keys))
         me = Member(
             settings.node_id,
@@ -131,15 +131,32 @@
         yield Node(clock, membership, manifests, control, client, spread, reader, link)
 
 
-@contextmanager
-def _closing(link: UdpLink):
-    try:
-        yield
-    finally:
+@asynccontextmanager
+async def _control_port(
+    settings: NodeSettings,
+) -> AsyncIterator[tuple[UdpLink, ControlServer]]:
+    """Bind the UDP and the TCP port of the same number.
+
+    A UDP port that the operating system chose may be taken for TCP, so another one
+    is tried then.
+    """
+    async with AsyncExitStack() as stack:
+        tries = 1 if settings.control_address.port else PORT_TRIES
+        for tries_left in reversed(range(tries)):
+            link = await UdpLink.open(settings.control_address, settings.keys)
+            stack.push_async_callback(link.close)
+            control = ControlServer(settings.keys, link.address)
+            try:
+                await stack.enter_async_context(control.serving())
+                break
+            except PeerError:
+                if not tries_left:
+                    raise
+                await stack.aclose()
+        yield link, control
         if link.rejected or link.overflowed:
             logger.warning(
                 "event=datagrams-dropped rejected={} overflowed={}",
                 link.rejected,
                 link.overflowed,
             )
-        link.close()
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -32,17 +32,21 @@
 
 @virtual
 @pytest.mark.parametrize("loss", [0.0, 0.1])
-@pytest.mark.parametrize("services", [("khata-core",), MANY], ids=["inline", "pulled"])
-async def test_change_is_in_force_everywhere_within_the_limit(services, loss) -> None:
+@pytest.mark.parametrize("pulled", [False, True])
+async def test_change_is_in_force_everywhere_within_the_limit(pulled, loss) -> None:
     store = MemoryStore()
+    services, addresses = (MANY, 12) if pulled else (("khata-core",), 1)
     async with running_cluster(1, loss=loss) as cluster:
         await cluster.start_all(60, store=store)
         for generation in (1, 2, 3):
-            await put_in_force(
-                cluster, store, accepted(generation, *services, port=400 + generation)
+            wanted = accepted(
+                generation, *services, port=400 + generation, addresses=addresses
             )
+            await put_in_force(cluster, store, wanted)
             await cluster.clock.sleep(2)
         assert len({i.manifests.digest for i in cluster.instances}) == 1
+        if pulled:
+            assert sum(i.spread.pulls for i in cluster.instances) >= 3 * 50
 
 
 @virtual
@@ -60,7 +64,7 @@
 async def test_pulls_of_a_large_change_are_spread_over_the_members() -> None:
     async with running_cluster(3) as cluster:
         await cluster.start_all(60)
-        cluster.instances[0].manifests.adopt(accepted(1, *MANY))
+        cluster.instances[0].manifests.adopt(accepted(1, *MANY, addresses=12))
         await cluster.until(lambda: in_force(cluster, 1), IN_FORCE_S)
         served = [i.link.call_bytes for i in cluster.instances]
         assert served[0] < sum(served) / 4
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -1,7 +1,9 @@
 """A node over real sockets: joining, a manifest change and the control port."""
 
+import socket
 from collections.abc import AsyncIterator
 from contextlib import AsyncExitStack
+from dataclasses import replace
 
 import pytest
 
@@ -9,6 +11,7 @@
 from cranberryhold.distribution import query_status
 from cranberryhold.exceptions import PeerError
 from cranberryhold.keys import KeyRing
+from cranberryhold.links import UdpLink
 from cranberryhold.members import MemberState, Role
 from cranberryhold.messages import ControlMessage, RecordsRequest
 from cranberryhold.node import Node, running_node
@@ -100,3 +103,23 @@
     assert found[here].node_id == "addis-a-1"
     assert found[here].heartbeat.generation == 7
     assert found[here].heartbeat.store_age_s == 3
+
+
+async def test_port_that_is_taken_for_tcp_is_replaced_or_reported(monkeypatch) -> None:
+    keys = KeyRing.generate()
+    with socket.create_server(("127.0.0.1", 0)) as taken:
+        address = Address("127.0.0.1", taken.getsockname()[1])
+        settings = NodeSettings("addis-a-1", "addis-a", "addis", address, (), keys)
+        with pytest.raises(PeerError, match="is the port in use"):
+            async with running_node(settings, Role.ENTRY, forward_address=LOCAL):
+                pass
+        links = iter([address, LOCAL])
+        opened = UdpLink.open
+
+        async def choose(_: Address, keys: KeyRing) -> UdpLink:
+            return await opened(next(links), keys)
+
+        monkeypatch.setattr(UdpLink, "open", choose)
+        settings = replace(settings, control_address=LOCAL)
+        async with running_node(settings, Role.ENTRY, forward_address=LOCAL) as node:
+            assert node.me.control_address != address
--- a/tools/clusters.py
+++ b/tools/clusters.py
@@ -49,10 +49,17 @@
     return int(address.ip.split(".")[1])
 
 
-def accepted(generation: int, *services: str, port: int = 443) -> AcceptedManifest:
-    """Return a manifest with these services, each with one address."""
+def accepted(
+    generation: int, *services: str, port: int = 443, addresses: int = 1
+) -> AcceptedManifest:
+    """Return a manifest with these services.
+
+    :param addresses: random addresses of each service; many of them make a manifest
+        that does not fit into a datagram even when it is compressed.
+    """
+    rng = Random(f"{generation} {port}")
     declared = tuple(
-        Service(name=name, addresses=(f"10.200.{i}.1:{port}",))
+        Service(name=name, addresses=_addresses(rng, i, port, addresses))
         for i, name in enumerate(services or ("khata-core", "bill-intake"))
     )
     return AcceptedManifest(
@@ -62,6 +69,11 @@
     )
 
 
+def _addresses(rng: Random, number: int, port: int, count: int) -> tuple[str, ...]:
+    hosts = (number << 8 | low for low in rng.sample(range(1, 255), count))
+    return tuple(f"10.200.{host >> 8}.{host & 255}:{port}" for host in hosts)
+
+
 class MemoryStore:
     """One key of the platform's store, with outages and slow answers."""
 
