--- a/src/cranberryhold/caller.py
+++ b/src/cranberryhold/caller.py
@@ -87,6 +87,12 @@
         self._rng = rng
         self._newest: asyncio.Future[ClientConnection] | None = None
         self._tasks: set[asyncio.Task[None]] = set()
+        self._opened = 0
+
+    @property
+    def connections_opened(self) -> int:
+        """Number of connections that were established so far."""
+        return self._opened
 
     @classmethod
     @asynccontextmanager
@@ -96,6 +102,7 @@
         *,
         ca_file: str | None = None,
         insecure: bool = False,
+        server_name: str | None = None,
         retry: RetryPolicy | None = None,
         clock: Clock | None = None,
         rng: random.Random | None = None,
@@ -107,13 +114,15 @@
         :param ca_file: PEM file with the authorities to trust; None for the
             system's.
         :param insecure: accept any certificate.
+        :param server_name: name that the certificate has to bear; None for the
+            URL's host.
         :param retry: limits of repeated attempts.
         :raises AddressError: if the URL has another form.
         """
         host, port = read_url(url)
         caller = cls(
             await _resolve(host, port),
-            client_configuration(host, ca_file, insecure),
+            client_configuration(server_name or host, ca_file, insecure),
             retry or RetryPolicy(),
             clock or SystemClock(),
             rng or random.Random(),
@@ -243,9 +252,11 @@
                 async with connection.exchange(request, self._authority) as response:
                     body = b"".join([chunk async for chunk in response.body])
         except TimeoutError as error:
-            kind = OutcomeUnknownError if sent else NotRunError
+            kind, step = (
+                (OutcomeUnknownError, "request") if sent else (NotRunError, "connect")
+            )
             raise kind(
-                "the deadline passed", step="request", peer=str(self._peer)
+                "the deadline passed", step=step, peer=str(self._peer)
             ) from error
         return self._checked(Answer(response.status, response.headers, body))
 
@@ -282,6 +293,7 @@
         """Open a connection and keep it until it has no more requests."""
         try:
             async with connected(self._peer, self._configuration) as connection:
+                self._opened += 1
                 ready.set_result(connection)
                 await connection.finished()
         except (CranberryholdError, OSError) as error:
--- a/src/cranberryhold/daemon.py
+++ b/src/cranberryhold/daemon.py
@@ -6,14 +6,16 @@
 from contextlib import AsyncExitStack, asynccontextmanager, contextmanager
 from dataclasses import dataclass, field
 
-from loguru import logger
-
+from cranberryhold.addresses import Address
 from cranberryhold.connection_ids import TargetRef
 from cranberryhold.consul import ConsulStore
+from cranberryhold.dump import DumpRequest, State, dump_handler, dump_on_signal
 from cranberryhold.entry import Entry
 from cranberryhold.exceptions import ManifestError
+from cranberryhold.logs import log_event
 from cranberryhold.manifest import AcceptedManifest, DrainPolicy, Service, service_id
 from cranberryhold.members import Role
+from cranberryhold.metrics import sending_metrics
 from cranberryhold.node import Node, running_node
 from cranberryhold.pipeline import RequestPipeline
 from cranberryhold.placement import slow_start_schedule, slow_start_weight
@@ -66,11 +68,17 @@
         entry = Entry(keys=settings.node.keys, members=node.members, settings=settings)
         await stack.enter_async_context(entry.serving())
         node.manifests.accepted.subscribe(lambda a: _apply(entry, a))
+        await _enter_reports(
+            stack,
+            settings.node,
+            node,
+            lambda: {**node.state(), "entry": entry.state()},
+        )
         await signals.first.wait()
-        logger.info("event=leaving node={}", settings.node.node_id)
+        log_event("leaving", node=settings.node.node_id)
         node.membership.announce(leaving=True)
         await _first_of(signals.second.wait(), asyncio.sleep(ENTRY_LINGER_S))
-    logger.info("event=stopped node={}", settings.node.node_id)
+    log_event("stopped", node=settings.node.node_id)
     return 0
 
 
@@ -84,7 +92,7 @@
         daemon = await stack.enter_async_context(running_sidecar(settings))
         await signals.first.wait()
         cut = await daemon.leave(signals.second)
-    logger.info("event=stopped node={} cut_requests={}", settings.node.node_id, cut)
+    log_event("stopped", node=settings.node.node_id, cut_requests=cut)
     return 1 if cut else 0
 
 
@@ -111,16 +119,18 @@
         self._sidecar = sidecar
         self._pipeline = pipeline
         self._monitor = monitor
+        self._service: Service | None = None
+        self._removed = False
         self._slow_start: asyncio.Task[None] | None = None
         self._draining: asyncio.Task[int] | None = None
 
     @property
     def service(self) -> Service | None:
-        """The own service in the manifest in force."""
-        accepted = self._node.manifests.current
-        if accepted is None:
-            return None
-        return accepted.manifest.service(self._settings.service)
+        """The own service as last declared.
+
+        It stays known when a manifest no longer has it, since its open flows go on.
+        """
+        return self._service
 
     def state(self) -> dict[str, object]:
         """Return the state for a dump."""
@@ -135,52 +145,65 @@
         }
 
     def apply_manifest(self, accepted: AcceptedManifest) -> None:
-        """Put a manifest in force."""
-        self._sidecar.apply_service(accepted.manifest.service(self._settings.service))
+        """Put a manifest in force; drain if it no longer has the own service."""
+        name = self._settings.service
+        service = accepted.manifest.service(name)
+        released = [
+            Address.parse(r.address) for r in accepted.released if r.service == name
+        ]
+        self._sidecar.apply_service(service, released)
+        if service is not None:
+            returned = self._service is not None and self._removed
+            self._service, self._removed = service, False
+            if returned:
+                self.follow_upstream(self._monitor.state)
+        elif self._service is not None and not self._removed:
+            self._removed = True
+            self._stop_taking_flows()
 
     def follow_upstream(self, state: UpstreamState) -> None:
         """Drain with the upstream, and start slowly when it is back."""
-        logger.info(
-            "event=upstream_state upstream={} state={}",
-            self._settings.upstream,
-            state.value,
-        )
-        if self._slow_start is not None:
-            self._slow_start.cancel()
-        if state is UpstreamState.OK:
-            self._take_new_flows()
-            return
-        self._node.membership.announce(weight=0)
+        log_event("upstream-state", upstream=self._settings.upstream, state=state.value)
+        self._cancel_slow_start()
         if state is UpstreamState.DRAINING:
-            self._start_drain()
+            self._stop_taking_flows()
+        elif state is UpstreamState.DOWN:
+            self._node.membership.announce(weight=0)
+        elif not self._removed:
+            self._take_new_flows()
 
     async def leave(self, cut_short: asyncio.Event) -> int:
         """Shut down gracefully; return the number of requests that were cut."""
-        if self._slow_start is not None:
-            self._slow_start.cancel()
+        self._cancel_slow_start()
         self._node.membership.announce(weight=0, leaving=True)
         drain = self._start_drain()
         await _first_of(asyncio.shield(drain), cut_short.wait())
         cut = drain.result() if drain.done() else self._sidecar.running
         drain.cancel()
         if cut:
-            logger.warning(
-                "event=requests_cut node={} count={} classes={}",
-                self._settings.node.node_id,
-                cut,
-                self._pipeline.running,
+            log_event(
+                "requests-cut",
+                level="WARNING",
+                node=self._settings.node.node_id,
+                count=cut,
+                classes=self._pipeline.running,
             )
         return cut
 
+    def _cancel_slow_start(self) -> None:
+        if self._slow_start is not None:
+            self._slow_start.cancel()
+
+    def _stop_taking_flows(self) -> None:
+        self._cancel_slow_start()
+        self._node.membership.announce(weight=0)
+        self._start_drain()
+
     def _start_drain(self) -> asyncio.Task[int]:
         if self._draining is None:
             policy = self.service.drain if self.service else DrainPolicy()
             limit_s = self._settings.node.drain_limit_s or policy.limit_s
-            logger.info(
-                "event=draining node={} limit_s={}",
-                self._settings.node.node_id,
-                limit_s,
-            )
+            log_event("draining", node=self._settings.node.node_id, limit_s=limit_s)
             self._pipeline.begin_drain(policy.grace_s)
             self._draining = asyncio.create_task(
                 self._sidecar.drain(policy.grace_s, limit_s)
@@ -248,6 +271,7 @@
         node.manifests.accepted.subscribe(daemon.apply_manifest)
         monitor.changes.subscribe(daemon.follow_upstream)
         stack.enter_context(_background(monitor.run()))
+        await _enter_reports(stack, settings.node, node, daemon.state)
         yield daemon
 
 
@@ -262,14 +286,26 @@
     )
 
 
+async def _enter_reports(
+    stack: AsyncExitStack, settings: NodeSettings, node: Node, state: State
+) -> None:
+    """Offer the state dump, and send its numbers as metrics."""
+    node.control.register(DumpRequest, dump_handler(state))
+    stack.enter_context(dump_on_signal(state))
+    await stack.enter_async_context(
+        sending_metrics(settings.statsd, settings.node_id, node.clock, state)
+    )
+
+
 def _apply(entry: Entry, accepted: AcceptedManifest) -> None:
     try:
         entry.apply_manifest(accepted)
     except ManifestError as error:
-        logger.error(
-            "event=manifest_not_applied generation={} error={!r}",
-            accepted.generation,
-            str(error),
+        log_event(
+            "manifest-not-applied",
+            level="ERROR",
+            generation=accepted.generation,
+            error=error,
         )
 
 
--- a/src/cranberryhold/sidecar.py
+++ b/src/cranberryhold/sidecar.py
@@ -4,8 +4,8 @@
 import hashlib
 import random
 from collections import Counter
-from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from collections.abc import AsyncIterator, Callable, Iterable, Mapping
+from contextlib import asynccontextmanager, suppress
 
 from aioquic.h3.connection import H3_ALPN
 from aioquic.quic.configuration import QuicConfiguration
@@ -25,13 +25,16 @@
     is_first_packet,
     read_connection_id,
 )
+from cranberryhold.placement import passes_on
 from cranberryhold.quic import SidecarQuicServer
 from cranberryhold.return_paths import ReturnPaths
 
 IDLE_TIMEOUT_S = 60.0
-# A connection whose last request has ended gets this long to close by itself
-# before a draining sidecar closes it.
-DRAIN_POLL_S = 0.1
+# Idle connections stay open this long after GOAWAY, so that a caller that ignored
+# it is told "not run" and does not lose a request with its connection.
+GOAWAY_LINGER_S = 10.0
+# With fewer connections an uneven share costs nothing, and chance makes it uneven.
+BOUNDED_LOAD_FROM = 32
 
 
 class Sidecar(asyncio.DatagramProtocol):
@@ -46,6 +49,8 @@
     :param clock: source of time.
     :param configuration: TLS certificate and transport settings.
     :param handler: answers requests.
+    :param peer_connections: returns the open connections of the other targets of
+        the service by node id, as last heard from them.
     """
 
     def __init__(
@@ -60,7 +65,9 @@
         clock: Clock,
         configuration: QuicConfiguration,
         handler: Handler,
+        peer_connections: Callable[[], Mapping[str, int]] = dict,
     ) -> None:
+        self._peer_connections = peer_connections
         self._node_id = node_id
         self._service_name = service
         self._members = members
@@ -71,6 +78,8 @@
         self._service_addresses: frozenset[Address] = frozenset()
         self._connection_limit = 0
         self._draining = False
+        self._close_when_idle = False
+        self._all_closed = asyncio.Event()
         self._transport: asyncio.DatagramTransport | None = None
         self._counts: Counter[str] = Counter()
         self._server = SidecarQuicServer(
@@ -79,6 +88,7 @@
             configuration=configuration,
             send=self._send,
             create_protocol=self._create_gateway,
+            on_closed=self._note_closed,
         )
 
     @property
@@ -96,9 +106,17 @@
         """Packets received, passed on and dropped, by reason."""
         return self._counts
 
-    def apply_service(self, service: Service | None) -> None:
-        """Take over the declaration of the own service; None refuses all packets."""
-        self._service_addresses = frozenset(service.endpoints if service else ())
+    def apply_service(
+        self, service: Service | None, released: Iterable[Address] = ()
+    ) -> None:
+        """Take over the declaration of the own service.
+
+        :param service: None if the manifest does not have it; no new connection is
+            taken then.
+        :param released: addresses that the service gave up, whose open flows go on.
+        """
+        endpoints = service.endpoints if service else ()
+        self._service_addresses = frozenset(endpoints).union(released)
         self._connection_limit = service.connections_per_target if service else 0
 
     @asynccontextmanager
@@ -122,22 +140,23 @@
 
         :return: the number of requests that were cut when ``limit_s`` was over.
         """
-        deadline = asyncio.get_running_loop().time() + limit_s
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + limit_s
         self._draining = True
         for gateway in self._gateways:
             gateway.announce_shutdown()
         await asyncio.sleep(min(grace_s, limit_s))
         for gateway in self._gateways:
             gateway.refuse_new_requests()
-        while asyncio.get_running_loop().time() < deadline:
-            if all(gateway.close_if_idle() for gateway in self._gateways):
-                return 0
-            await asyncio.sleep(DRAIN_POLL_S)
+        await self._wait_closed(min(deadline, loop.time() + GOAWAY_LINGER_S))
+        self._close_when_idle = True
+        self._close_idle()
+        await self._wait_closed(deadline)
         return self.running
 
     def resume(self) -> None:
         """Take new connections again after a drain that was called off."""
-        self._draining = False
+        self._draining = self._close_when_idle = False
 
     def state(self) -> dict[str, object]:
         """Return a summary for the state dump."""
@@ -180,7 +199,27 @@
         return list(self._server.connections)  # type: ignore[arg-type]
 
     def _create_gateway(self, connection: QuicConnection) -> Gateway:
-        return Gateway(connection, self._handler)
+        return Gateway(connection, self._handler, on_idle=self._note_idle)
+
+    def _note_idle(self, gateway: Gateway) -> None:
+        if self._close_when_idle:
+            gateway.close_if_idle()
+
+    def _note_closed(self) -> None:
+        if not self._server.connections:
+            self._all_closed.set()
+
+    def _close_idle(self) -> None:
+        for gateway in self._gateways:
+            gateway.close_if_idle()
+
+    async def _wait_closed(self, deadline: float) -> None:
+        """Wait until no connection is open, or until a time of the loop's clock."""
+        self._all_closed.clear()
+        with suppress(TimeoutError):
+            async with asyncio.timeout_at(deadline):
+                if self.connections:
+                    await self._all_closed.wait()
 
     def _send(self, packet: bytes, caller: tuple[str, int]) -> None:
         entry = self._paths.choose(caller)
@@ -192,23 +231,31 @@
         self._transport.sendto(header + packet, (entry.ip, entry.port))
 
     def _pass_on(self, datagram: bytes, packet: bytes, source: Address) -> bool:
-        """Pass a first packet to a peer if this target takes no new connections."""
+        """Pass a first packet to a peer, or refuse it, if it is not for this target."""
         connection_id = read_connection_id(packet)
         if not is_first_packet(packet) or self._server.knows(connection_id):
             return False
-        if not self._draining and self.connections < self._connection_limit:
-            return False
-        peer = self._peer_for(connection_id or b"")
         # One that was passed on before came from a sidecar; it goes no further.
-        if peer is None or self._is_peer(source):
-            self._counts["refused_connections"] += 1
-            return True
+        passed_on = self._is_peer(source)
+        is_full = self._draining or self.connections >= self._connection_limit
+        if not is_full and not self._is_overloaded(passed_on):
+            return False
+        peer = None if passed_on else self._peer_for(connection_id or b"", is_full)
+        if peer is None:
+            self._counts["refused_connections"] += is_full
+            return is_full
         self._counts["passed_on_connections"] += 1
         self._transport.sendto(
             datagram, (peer.forward_address.ip, peer.forward_address.port)
         )
         return True
 
+    def _is_overloaded(self, passed_on: bool) -> bool:
+        if self.connections < BOUNDED_LOAD_FROM:
+            return False
+        peers = list(self._peer_connections().values())
+        return passes_on(self.connections, peers, passed_on)
+
     def _peers(self) -> list[Member]:
         return [
             m
@@ -219,10 +266,20 @@
     def _is_peer(self, source: Address) -> bool:
         return any(m.forward_address == source for m in self._peers())
 
-    def _peer_for(self, connection_id: bytes) -> Member | None:
-        """Choose by rendezvous hash, so that a repeated first packet goes alike."""
+    def _peer_for(self, connection_id: bytes, any_load: bool) -> Member | None:
+        """Choose by rendezvous hash, so that a repeated first packet goes alike.
+
+        :param any_load: whether peers with more connections than this target may
+            be chosen.
+        """
+        counts = self._peer_connections()
         return max(
-            (m for m in self._peers() if m.accepts_new_flows),
+            (
+                m
+                for m in self._peers()
+                if m.accepts_new_flows
+                and (any_load or counts.get(m.node_id, 0) < self.connections)
+            ),
             key=lambda m: hashlib.sha256(connection_id + m.node_id.encode()).digest(),
             default=None,
         )
