Use the virtual loop of tools, and start simulated members from a shared table

Cause: 930 members took 5.6 s of CPU to set up and 7.2 s for 30 virtual seconds, and two virtual loops existed.

Change: clusters run on tools/virtual_time.py; a member may start from a copy of a table; node hashes are cached. The membership measure takes other sizes on its own command line (python -m tools.measures.membership 7430).

--- a/src/cranberryhold/gossip.py
+++ b/src/cranberryhold/gossip.py
@@ -3,6 +3,7 @@
 import zlib
 from collections.abc import Iterable
 from dataclasses import dataclass, field
+from functools import lru_cache
 from hashlib import blake2b
 from math import ceil, log2
 from struct import Struct as Layout
@@ -166,6 +167,7 @@
     return chosen
 
 
+@lru_cache(maxsize=1 << 15)
 def node_hash(node_id: str) -> int:
     """Return the 32-bit hash that names a node in summaries."""
     return zlib.crc32(node_id.encode())
--- a/src/cranberryhold/members.py
+++ b/src/cranberryhold/members.py
@@ -131,6 +131,13 @@
         """Return the record of a node, or None."""
         return self._members.get(node_id)
 
+    def copy(self) -> "MemberTable":
+        """Return a table with the same records and no subscribers."""
+        table = MemberTable()
+        table._members = self._members.copy()
+        table._by_service = {s: m.copy() for s, m in self._by_service.items()}
+        return table
+
     def merge(self, member: Member) -> bool:
         """Take a record if it is newer than the one held; return whether it was."""
         before = self._members.get(member.node_id)
--- a/src/cranberryhold/membership.py
+++ b/src/cranberryhold/membership.py
@@ -88,6 +88,7 @@
     :param contacts: control addresses that may lead to members.
     :param calls: used to pull the table when joining; without it, anti-entropy
         fills the table more slowly.
+    :param table: members that are known from the start, for simulations.
     """
 
     def __init__(
@@ -100,12 +101,13 @@
         contacts: Iterable[Address] = (),
         calls: Calls | None = None,
         budget: Budget | None = None,
+        table: MemberTable | None = None,
     ) -> None:
         self.me = me
         self.clock = clock
         self.rng = rng
         self.budget = budget or Budget(clock)
-        self.table = MemberTable()
+        self.table = MemberTable() if table is None else table
         self.table.merge(me)
         self.roster = Roster(self.table, me.node_id)
         self.rumors = Rumors()
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -9,7 +9,8 @@
 from cranberryhold.exceptions import ManifestError
 from cranberryhold.manifest import AcceptedManifest, Manifest
 from cranberryhold.messages import Announcement, encode
-from tools.clusters import Cluster, MemoryStore, accepted, run_virtual, running_cluster
+from tools.clusters import Cluster, MemoryStore, accepted, running_cluster
+from tools.virtual_time import run_virtual
 
 virtual = pytest.mark.looptime(start=0, noop_cycles=0)
 
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -16,7 +16,8 @@
 )
 from cranberryhold.messages import Join as JoinMessage
 from cranberryhold.messages import decode_datagram, encode, record_of
-from tools.clusters import Cluster, run_virtual, running_cluster
+from tools.clusters import Cluster, running_cluster
+from tools.virtual_time import run_virtual
 
 WRAP = 1 << 32
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -91,7 +91,7 @@
 async def test_resumed_process_hears_refutations_before_it_takes_others_down() -> None:
     async with running_cluster(3) as cluster:
         usual, cluster.clock = cluster.clock, _FreezableClock()
-        known = [cluster.member(i) for i in range(2)]
+        known = cluster.known(2)
         frozen = await cluster.start(0, known=known)
         clock, cluster.clock = cluster.clock, usual
         other = await cluster.start(1, known=known)
--- a/tools/clusters.py
+++ b/tools/clusters.py
@@ -1,12 +1,11 @@
 """Members of a whole cluster in one process and in virtual time."""
 
 import asyncio
-from collections.abc import AsyncIterator, Callable, Coroutine
+from collections.abc import AsyncIterator, Callable
 from contextlib import AsyncExitStack, asynccontextmanager
 from random import Random
 from typing import Any
 
-import looptime
 from loguru import logger
 
 from cranberryhold.addresses import Address
@@ -21,7 +20,7 @@
 from cranberryhold.exceptions import StoreError
 from cranberryhold.links import MemoryLink, MemoryNetwork
 from cranberryhold.manifest import AcceptedManifest, Manifest, Service
-from cranberryhold.members import Member, Role
+from cranberryhold.members import Member, MemberTable, Role
 from cranberryhold.membership import Membership
 from cranberryhold.messages import ManifestRequest, RecordsRequest
 from cranberryhold.store import Store, Versioned
@@ -31,19 +30,6 @@
 PORT = 7000
 
 
-def run_virtual(main: Coroutine[Any, Any, Any]) -> Any:
-    """Run a coroutine on an event loop in virtual time."""
-    # There is no real input, so no cycles are needed to wait for it.
-    loop = looptime.new_event_loop(start=0, noop_cycles=0)
-    asyncio.set_event_loop(loop)
-    try:
-        return loop.run_until_complete(main)
-    finally:
-        loop.run_until_complete(loop.shutdown_asyncgens())
-        loop.close()
-        asyncio.set_event_loop(None)
-
-
 def zone_of(address: Address) -> int:
     """Return the number of the zone that an address of a cluster lies in."""
     return int(address.ip.split(".")[1])
@@ -119,14 +105,25 @@
     """One member of a cluster, with what its daemon would run."""
 
     def __init__(
-        self, cluster: "Cluster", me: Member, contacts: list[Address], store: Any
+        self,
+        cluster: "Cluster",
+        me: Member,
+        contacts: list[Address],
+        store: Store | None,
+        table: MemberTable | None,
     ) -> None:
         self._cluster = cluster
         self._stack = AsyncExitStack()
         clock, rng = cluster.clock, Random(f"{cluster.seed} {me.node_id}")
         self.link: MemoryLink = cluster.network.link(me.control_address)
         self.membership = Membership(
-            me, self.link, clock=clock, rng=rng, contacts=contacts, calls=self.link
+            me,
+            self.link,
+            clock=clock,
+            rng=rng,
+            contacts=contacts,
+            calls=self.link,
+            table=table,
         )
         self.manifests = ManifestState(clock)
         self.spread = ManifestSpread(self.manifests, self.membership, self.link)
@@ -226,20 +223,26 @@
         *,
         store: Store | None = None,
         incarnation: int = 1000,
-        known: list[Member] = (),
+        known: MemberTable | None = None,
     ) -> Instance:
         """Start one instance; ``known`` is what it believes from the start."""
         me = self.member(number, incarnation=incarnation)
-        instance = Instance(self, me, list(contacts), store)
-        for member in known:
-            instance.membership.table.merge(member)
+        table = known.copy() if known else None
+        instance = Instance(self, me, list(contacts), store, table)
         self.instances.append(instance)
         await instance.start()
         return instance
 
+    def known(self, count: int) -> MemberTable:
+        """Return a table with the first records of this many instances."""
+        table = MemberTable()
+        for number in range(count):
+            table.merge(self.member(number))
+        return table
+
     async def start_all(self, count: int, *, store: Store | None = None) -> None:
         """Start instances that already know each other."""
-        known = [self.member(i) for i in range(count)]
+        known = self.known(count)
         for number in range(count):
             await self.start(number, store=store, known=known)
 
--- a/tools/measures/membership.py
+++ b/tools/measures/membership.py
@@ -1,14 +1,17 @@
 """Membership and manifest distribution at several sizes, in virtual time."""
 
+import argparse
 import asyncio
 import gc
 import time
+from collections.abc import Sequence
 
 from loguru import logger
 
 from cranberryhold.members import MemberState
-from tools.clusters import Cluster, Instance, accepted, run_virtual, running_cluster
+from tools.clusters import Cluster, Instance, accepted, running_cluster
 from tools.tables import Table
+from tools.virtual_time import run_virtual
 
 SIZES = (10, 100, 930)
 LOSSES = (0.0, 0.02, 0.10)
@@ -22,9 +25,24 @@
 
 def tables(seed: int) -> list[Table]:
     """Return the tables of this experiment."""
+    return _tables(seed, SIZES, LOSSES)
+
+
+def main() -> None:
+    """Measure other sizes, such as 7,430 members (10 GB, 10 minutes)."""
+    parser = argparse.ArgumentParser(description=main.__doc__)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--loss", type=float, default=0.0)
+    parser.add_argument("sizes", type=int, nargs="+", help="numbers of members")
+    options = parser.parse_args()
+    for table in _tables(options.seed, options.sizes, (options.loss,)):
+        print(table, end="\n\n", flush=True)
+
+
+def _tables(seed: int, sizes: Sequence[int], losses: Sequence[float]) -> list[Table]:
     logger.disable("cranberryhold")
     try:
-        runs = [_run(size, loss, seed) for size in SIZES for loss in LOSSES]
+        runs = [_run(size, loss, seed) for size in sizes for loss in losses]
     finally:
         logger.enable("cranberryhold")
     return [_spreading(runs), _detection(runs), _traffic(runs)]
@@ -49,7 +67,7 @@
         async with running_cluster(seed, loss=self.loss) as cluster:
             self._cluster = cluster
             await cluster.start_all(self.size)
-            gc.collect()
+            gc.freeze()
             await cluster.clock.sleep(WARM_UP_S)
             await self._steady()
             await self._changes()
@@ -135,9 +153,13 @@
 
 
 def _run(size: int, loss: float, seed: int) -> _Run:
-    run = run_virtual(_Run(size, loss, seed).main(seed))
-    gc.collect()
-    return run
+    # Collections would walk all member tables again and again.
+    gc.disable()
+    try:
+        return run_virtual(_Run(size, loss, seed).main(seed))
+    finally:
+        gc.enable()
+        gc.unfreeze()
 
 
 def _spreading(runs: list[_Run]) -> Table:
@@ -182,3 +204,7 @@
         rates = round(run.bytes["steady"]), round(run.busiest_bytes)
         table.add(run.size, run.loss, *rates, *per_change, run.cpu_s)
     return table
+
+
+if __name__ == "__main__":
+    main()
