Report an interrupted apply as an unknown outcome

Cause: an interrupt during a swap ended with exit code 1, which says that nothing changed. A closed output pipe ended in a traceback.

Change: an interrupted 'manifest apply' exits with 6 and names the submission id to repeat. A closed output pipe ends with exit code 1 and no traceback.

--- a/src/cranberryhold/cli.py
+++ b/src/cranberryhold/cli.py
@@ -250,4 +250,8 @@
         code = asyncio.run(execute(sys.argv[1:], os.environ))
     except KeyboardInterrupt:
         code = ExitCode.FAILED
+    except BrokenPipeError:
+        # The reader of the output has gone; Python would fail again on its last flush.
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+        code = ExitCode.FAILED
     sys.exit(code)
--- a/src/cranberryhold/manifest_commands.py
+++ b/src/cranberryhold/manifest_commands.py
@@ -9,14 +9,19 @@
 from pathlib import Path
 
 import yaml
+from expression import Result
 
 from cranberryhold.apply import apply_manifest, read_accepted
 from cranberryhold.consul import ConsulStore
 from cranberryhold.distribution import query_status
-from cranberryhold.exceptions import SettingsError
+from cranberryhold.exceptions import (
+    CranberryholdError,
+    SettingsError,
+    StoreOutcomeUnknownError,
+)
 from cranberryhold.exit_codes import ExitCode
 from cranberryhold.logs import format_pairs
-from cranberryhold.manifest import Manifest
+from cranberryhold.manifest import AcceptedManifest, Manifest
 from cranberryhold.manifest_text import format_errors, load_manifest, manifest_schema
 from cranberryhold.options import Option
 from cranberryhold.settings import (
@@ -98,8 +103,26 @@
     submission_id = values["submission_id"] or str(uuid.uuid4())
     # Whoever repeats the command after a lost answer needs the id.
     print(format_pairs({"submission_id": submission_id}), flush=True)
+    try:
+        outcome = await _submit(values, manifest, submission_id)
+    except asyncio.CancelledError:
+        raise StoreOutcomeUnknownError(
+            f"interrupted: repeat it with --submission-id {submission_id} to learn "
+            "whether it was accepted",
+            step="submit manifest",
+            peer=values["store_url"],
+        ) from None
+    if outcome.is_error():
+        raise outcome.error
+    print(format_pairs({"generation": outcome.ok.generation}))
+    return ExitCode.DONE
+
+
+async def _submit(
+    values: Values, manifest: Manifest, submission_id: str
+) -> Result[AcceptedManifest, CranberryholdError]:
     async with ConsulStore.open(values["store_url"]) as store:
-        outcome = await apply_manifest(
+        return await apply_manifest(
             store,
             manifest,
             submission_id,
@@ -107,10 +130,6 @@
             expected_generation=values["expected_generation"],
             above_generation=values["above_generation"],
         )
-    if outcome.is_error():
-        raise outcome.error
-    print(format_pairs({"generation": outcome.ok.generation}))
-    return ExitCode.DONE
 
 
 async def show(values: Values) -> int:
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -4,6 +4,7 @@
 outcome for success, and against options that the help does not describe.
 """
 
+import asyncio
 import io
 import json
 import re
@@ -33,6 +34,7 @@
 from emulator.key_values import KeyValues, MemoryStore
 from emulator.platform import Platform
 from tests.environments import ENTRY, RING
+from tests.waiting import until
 
 EXAMPLES = Path(__file__).parent.parent / "examples"
 HIMAL = str(EXAMPLES / "himal-byanjan.yaml")
@@ -226,6 +228,19 @@
     assert key_values.calls.writes == 1
 
 
+async def test_interrupted_apply_is_an_unknown_outcome(
+    store: dict[str, str], key_values: KeyValues, capsys: pytest.CaptureFixture[str]
+) -> None:
+    """The swap may have been sent; a failure would tell that nothing changed."""
+    key_values.faults.answer_delay_s = 60.0
+    apply = ["manifest", "apply", HIMAL, "--submission-id", "run-7"]
+    task = asyncio.create_task(execute(apply, store))
+    await until(lambda: key_values.calls.total > 0)
+    task.cancel()
+    assert await task == 6
+    assert "repeat it with --submission-id run-7" in capsys.readouterr().err
+
+
 async def test_status_and_dump_ask_a_running_member(
     capsys: pytest.CaptureFixture[str],
 ) -> None:
