--- a/src/cranberryhold/apply.py
+++ b/src/cranberryhold/apply.py
@@ -30,7 +30,7 @@
 # times the 3 s in which a manifest is in force everywhere, so that no entry instance
 # still sends the address's packets to the previous service.
 ADDRESS_QUARANTINE_S = 60.0
-# At 1,200 changes a day a submission is remembered for 10 hours, in about 50 KB.
+# At 1,200 changes a day a submission is remembered for 10 hours, in 52 KB.
 REMEMBERED_SUBMISSIONS = 512
 ATTEMPTS = 4
 RETRY_DELAY_S = 0.5
