--- /dev/null
+++ b/src/cranberryhold/fleet.py
@@ -0,0 +1,85 @@
+"""Questions to the running members, for the operators' commands."""
+
+from collections.abc import Iterable
+
+from cranberryhold.addresses import Address
+from cranberryhold.control import ControlClient
+from cranberryhold.distribution import query_status
+from cranberryhold.exceptions import ConflictError, PeerError
+from cranberryhold.gossip import BUCKETS
+from cranberryhold.keys import KeyRing
+from cranberryhold.members import Member, MemberState
+from cranberryhold.messages import Records, RecordsRequest, Status
+
+# Answers to more questions at once would overflow the socket's receive buffer.
+ASKED_AT_ONCE = 200
+
+
+async def list_members(
+    keys: KeyRing, contacts: Iterable[Address], timeout_s: float
+) -> list[Member]:
+    """Return the members that the first contact to answer believes to be there.
+
+    Members that are believed down are left out. A contact address of the fabric
+    can't answer, since the list is too large for a datagram.
+
+    :param timeout_s: seconds for each contact.
+    :raises PeerError: if no contact answers.
+    """
+    request = RecordsRequest(buckets=list(range(BUCKETS)))
+    failure = PeerError("no contact given", step="list members")
+    async with ControlClient(keys) as client:
+        for contact in contacts:
+            try:
+                answer = await client.call(contact, request, timeout_s)
+            except PeerError as error:
+                failure = error
+                continue
+            if isinstance(answer, Records):
+                members = [record.member() for record in answer.records]
+                return [m for m in members if m.state is not MemberState.DOWN]
+    raise failure
+
+
+async def query_fleet(
+    keys: KeyRing, contacts: Iterable[Address], timeout_s: float
+) -> dict[Address, Status | None]:
+    """Ask the contacts, and all members that they know, what they have in force.
+
+    :param timeout_s: seconds for each step.
+    :return: the answer by control address, None for those that did not answer.
+    """
+    contacts = list(contacts)
+    try:
+        members = await list_members(keys, contacts, timeout_s)
+    except PeerError:
+        members = []
+    found = sorted(m.control_address for m in members)
+    addresses = list(dict.fromkeys([*contacts, *found]))
+    answers: dict[Address, Status | None] = {}
+    for start in range(0, len(addresses), ASKED_AT_ONCE):
+        some = addresses[start : start + ASKED_AT_ONCE]
+        answers |= await query_status(keys, some, timeout_s)
+    return answers
+
+
+async def refuse_if_fleet_is_ahead(
+    keys: KeyRing, contacts: Iterable[Address], stored: int, timeout_s: float
+) -> None:
+    """Check that a new generation of the store will be adopted.
+
+    A store that was restored from an older snapshot gives out generations that the
+    members ignore, so that an accepted manifest would not come into force.
+
+    :param stored: generation after which the store will count.
+    :raises ConflictError: if a contact has a higher generation in force.
+    """
+    answers = await query_status(keys, list(contacts), timeout_s)
+    in_force = max((a.heartbeat.generation for a in answers.values() if a), default=0)
+    if in_force > stored:
+        raise ConflictError(
+            f"the members have generation {in_force} in force and the store holds "
+            f"{stored}: has it been restored from an older snapshot? Look at it with "
+            f"'manifest show', then submit with --above-generation {in_force}",
+            step="compare with members",
+        )
--- a/src/cranberryhold/manifest_commands.py
+++ b/src/cranberryhold/manifest_commands.py
@@ -6,23 +6,26 @@
 import time
 import uuid
 from collections.abc import Mapping
+from dataclasses import replace
 from pathlib import Path
 
 import yaml
 from expression import Result
 
+from cranberryhold.addresses import Address
 from cranberryhold.apply import apply_manifest, read_accepted
 from cranberryhold.consul import ConsulStore
-from cranberryhold.distribution import query_status
 from cranberryhold.exceptions import (
     CranberryholdError,
     SettingsError,
     StoreOutcomeUnknownError,
 )
 from cranberryhold.exit_codes import ExitCode
+from cranberryhold.fleet import query_fleet, refuse_if_fleet_is_ahead
 from cranberryhold.logs import format_pairs
 from cranberryhold.manifest import AcceptedManifest, Manifest
 from cranberryhold.manifest_text import format_errors, load_manifest, manifest_schema
+from cranberryhold.messages import Status
 from cranberryhold.options import Option
 from cranberryhold.settings import (
     KEYS,
@@ -35,6 +38,8 @@
 
 Values = Mapping[str, object]
 
+FLEET_TIMEOUT_S = 1.0
+
 SHOW_OPTIONS = (STORE_URL,)
 APPLY_OPTIONS = (
     STORE_URL,
@@ -59,11 +64,20 @@
         default="0",
         metavar="NUMBER",
     ),
+    Option(
+        "contacts",
+        "control addresses of any members, separated by commas; with them and the "
+        "key ring, a manifest that the members would ignore is refused",
+        as_addresses,
+        metavar="ADDRESSES",
+    ),
+    replace(KEYS, required=False),
 )
 STATUS_OPTIONS = (
     Option(
         "contacts",
-        "the control addresses of the members to ask, separated by commas",
+        "control addresses of any members, separated by commas; they and all members "
+        "that they know are asked",
         as_addresses,
         required=True,
         metavar="ADDRESSES",
@@ -122,6 +136,15 @@
     values: Values, manifest: Manifest, submission_id: str
 ) -> Result[AcceptedManifest, CranberryholdError]:
     async with ConsulStore.open(values["store_url"]) as store:
+        if values["contacts"] and values["keys"]:
+            stored = await read_accepted(store)
+            generation = stored.generation if stored else 0
+            await refuse_if_fleet_is_ahead(
+                values["keys"],
+                values["contacts"],
+                max(generation, values["above_generation"]),
+                FLEET_TIMEOUT_S,
+            )
         return await apply_manifest(
             store,
             manifest,
@@ -152,7 +175,7 @@
 async def status(values: Values) -> int:
     """Print the generation in force at each member, one line each."""
     addresses = list(values["contacts"])
-    answers = await query_status(values["keys"], addresses, values["timeout"])
+    answers = await query_fleet(values["keys"], addresses, values["timeout"])
     code = ExitCode.DONE
     for address, answer in answers.items():
         if answer is None:
@@ -170,9 +193,20 @@
             "store_age_s": age_s if age_s >= 0 else None,
         }
         print(format_pairs(fields))
+    print(format_pairs(_summary(answers)))
     return code
 
 
+def _summary(answers: Mapping[Address, Status | None]) -> dict[str, object]:
+    generations = [a.heartbeat.generation for a in answers.values() if a]
+    return {
+        "asked": len(answers),
+        "answered": len(generations),
+        "oldest_generation": min(generations, default=None),
+        "newest_generation": max(generations, default=None),
+    }
+
+
 async def schema(values: Values) -> int:
     """Print the JSON Schema of a manifest."""
     print(json.dumps(manifest_schema(), indent=2))
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -9,6 +9,7 @@
 import json
 import re
 from collections.abc import AsyncIterator
+from dataclasses import replace
 from pathlib import Path
 
 import pytest
@@ -28,6 +29,7 @@
     StoreOutcomeUnknownError,
 )
 from cranberryhold.keys import KeyRing
+from cranberryhold.manifest import AcceptedManifest, Manifest
 from cranberryhold.members import Role
 from cranberryhold.node import running_node
 from cranberryhold.settings import EntrySettings, NodeSettings, SidecarSettings
@@ -254,7 +256,8 @@
         address = str(node.me.control_address)
         assert await execute([*status, address], keys) == 0
         line = f"address={address} node=entry-1 generation=0 store_age_s=null\n"
-        assert capsys.readouterr().out == line
+        total = "asked=1 answered=1 oldest_generation=0 newest_generation=0\n"
+        assert capsys.readouterr().out == line + total
         assert await execute([*status, address, "--generation", "1"], keys) == 1
     assert await execute([*status, address], keys) == 4
     dump = ["dump", "--timeout", "0.2", "--address", address]
@@ -264,3 +267,41 @@
 async def test_schema_is_json(capsys: pytest.CaptureFixture[str]) -> None:
     assert await execute(["manifest", "schema"], {}) == 0
     assert json.loads(capsys.readouterr().out)["title"] == "Manifest"
+
+
+async def test_status_asks_all_members_that_a_contact_knows(
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    any_port, keys = Address("127.0.0.1", 0), KeyRing.parse(RING)
+    first = NodeSettings("entry-1", "lalitpur", "np", any_port, (), keys)
+    async with running_node(first, Role.ENTRY, forward_address=any_port) as one:
+        contact = one.me.control_address
+        second = replace(first, node_id="entry-2", contacts=(contact,))
+        async with running_node(second, Role.ENTRY, forward_address=any_port) as two:
+            await until(lambda: len(one.members) == len(two.members) == 2)
+            status = ["manifest", "status", "--contacts", str(contact)]
+            assert await execute(status, {"CRANBERRYHOLD_KEYS": RING}) == 0
+    out = capsys.readouterr().out
+    assert "node=entry-1" in out
+    assert "node=entry-2" in out
+    assert "asked=2 answered=2" in out
+
+
+async def test_manifest_that_the_members_would_ignore_is_refused(
+    store: dict[str, str], key_values: KeyValues, capsys: pytest.CaptureFixture[str]
+) -> None:
+    """A store restored from a snapshot counts from a generation already passed."""
+    any_port = Address("127.0.0.1", 0)
+    settings = NodeSettings("e", "z", "r", any_port, (), KeyRing.parse(RING))
+    async with running_node(settings, Role.ENTRY, forward_address=any_port) as node:
+        node.manifests.adopt(
+            AcceptedManifest(generation=7, submission_id="x", manifest=Manifest())
+        )
+        contacts = str(node.me.control_address)
+        apply = ["manifest", "apply", HIMAL, "--contacts", contacts]
+        keys = {**store, "CRANBERRYHOLD_KEYS": RING}
+        assert await execute(apply, keys) == 3
+        assert "submit with --above-generation 7" in capsys.readouterr().err
+        assert key_values.calls.writes == 0
+        assert await execute([*apply, "--above-generation", "7"], keys) == 0
+        assert "generation=8" in capsys.readouterr().out
