--- a/src/cranberryhold/control.py
+++ b/src/cranberryhold/control.py
@@ -62,13 +62,13 @@
 
 
 class _Admitted:
-    """Credentials provider that accepts the key pairs of the ring alone."""
+    """Credentials provider that accepts the deployment's key pair alone."""
 
-    def __init__(self, keys: KeyRing) -> None:
-        self._public = {curve_pair(keys, i).public for i in keys.key_ids}
+    def __init__(self, pair: CurvePair) -> None:
+        self._public = pair.public
 
     def callback(self, domain: str, key: bytes) -> bool:
-        return key in self._public
+        return key == self._public
 
 
 class ControlServer:
@@ -117,8 +117,9 @@
         authenticator.start()
         socket = context.socket(zmq.ROUTER)
         try:
-            authenticator.configure_curve_callback(_DOMAIN, _Admitted(self._keys))
-            self._bind(socket)
+            pair = curve_pair(self._keys, self._keys.issuing_id)
+            authenticator.configure_curve_callback(_DOMAIN, _Admitted(pair))
+            self._bind(socket, pair)
             self._answers.start(self._serve(socket))
             yield self
         finally:
@@ -127,8 +128,7 @@
             authenticator.stop()
             context.destroy(linger=200)
 
-    def _bind(self, socket: zmq.asyncio.Socket) -> None:
-        pair = curve_pair(self._keys, self._keys.issuing_id)
+    def _bind(self, socket: zmq.asyncio.Socket, pair: CurvePair) -> None:
         socket.curve_server = True
         socket.curve_publickey, socket.curve_secretkey = pair.public, pair.secret
         socket.zap_domain = _DOMAIN.encode()
--- a/src/cranberryhold/membership.py
+++ b/src/cranberryhold/membership.py
@@ -319,8 +319,13 @@
                 self.counters.malformed += 1
                 continue
             handler = self._handlers.get(type(message))
-            if handler is not None:
-                handler(message, sender)
+            try:
+                if handler is not None:
+                    handler(message, sender)
+            except Exception:
+                # One datagram must not keep the others from being received.
+                self.counters.malformed += 1
+                logger.exception("event=datagram-failed peer={}", sender)
 
     async def _bootstrap(self) -> None:
         pause, longest = JOIN_RETRY_S
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -151,6 +151,22 @@
         assert store.calls <= 12 * 120
 
 
+@virtual
+async def test_watch_whose_answer_is_lost_is_given_up() -> None:
+    store = MemoryStore()
+    async with running_cluster(14) as cluster:
+
+        async def lose(key: str, revision: int, timeout_s: float) -> None:
+            await cluster.clock.sleep(1e6)
+
+        store.watch = lose
+        await cluster.start_all(6, store=store)
+        await cluster.clock.sleep(30)
+        del store.watch
+        store.put(accepted(1))
+        await cluster.until(lambda: in_force(cluster, 1), 60)
+
+
 @virtual
 async def test_slow_store_delays_only_itself() -> None:
     store = MemoryStore()
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -9,7 +9,19 @@
 from cranberryhold.clock import SystemClock
 from cranberryhold.gossip import BYTES_PER_SECOND
 from cranberryhold.members import MemberState
-from cranberryhold.messages import Join, encode, record_of
+from cranberryhold.messages import (
+    Ack,
+    Announcement,
+    BucketDigests,
+    Exchange,
+    Heartbeat,
+    Join,
+    Nack,
+    ProbeRequest,
+    Summary,
+    encode,
+    record_of,
+)
 from tools.clusters import Cluster, Instance, running_cluster, zone_of
 
 pytestmark = pytest.mark.looptime(start=0, noop_cycles=0)
@@ -270,3 +282,50 @@
         await cluster.clock.sleep(5)
         assert target.membership.counters.malformed == 4
         assert agree_on_all_alive(cluster)
+
+
+@pytest.mark.parametrize(
+    "message",
+    [
+        ProbeRequest(1, "nobody", b"12"),
+        BucketDigests(b"123"),
+        Summary({-5: b"123", 99999: b"12345678", 3: b"12345678901"}),
+        Exchange([], [-1, 1 << 40]),
+        Announcement(99, b"", b"no delta"),
+        Ack(-1, "nobody", Heartbeat(1 << 40, 1 << 40)),
+        Nack(77),
+    ],
+    ids=lambda message: type(message).__name__,
+)
+async def test_datagram_with_impossible_content_does_no_harm(message) -> None:
+    faults: list[object] = []
+    loop = asyncio.get_running_loop()
+    loop.set_exception_handler(lambda _, context: faults.append(context))
+    async with running_cluster(16) as cluster:
+        await cluster.start_all(3)
+        target = cluster.instances[0]
+        link = cluster.network.link(cluster.member(7).control_address)
+        link.send(encode(message), target.address)
+        await cluster.clock.sleep(10)
+        assert target.manifests.generation == 0
+        assert agree_on_all_alive(cluster)
+    assert not faults
+
+
+async def test_fault_in_a_handler_does_not_stop_the_receiving() -> None:
+    def fail(message: Nack, sender: object) -> None:
+        raise LookupError
+
+    async def scenario() -> None:
+        async with running_cluster(17) as cluster:
+            await cluster.start_all(2)
+            target, other = cluster.instances
+            target.membership.on(Nack, fail)
+            for _ in range(3):
+                other.link.send(encode(Nack(1)), target.address)
+            other.membership.announce(weight=7)
+            table = target.membership.table
+            await cluster.until(lambda: table.get(other.node_id).weight == 7, 0.5)
+
+    with pytest.raises(RuntimeError, match="datagram-failed"):
+        await scenario()
--- a/tools/clusters.py
+++ b/tools/clusters.py
@@ -310,4 +310,4 @@
 
 
 def _is_fault(record: Any) -> bool:
-    return "event=duty-failed" in record["message"]
+    return record["message"].startswith(("event=duty-failed", "event=datagram-failed"))
