Test the caller under packet loss; lower-case header names

HTTP/3 refuses upper-case names, so a user's 'Content-Type' broke the request. A connection that was given up for its silence takes no new request while it closes.

--- a/src/cranberryhold/h3_client.py
+++ b/src/cranberryhold/h3_client.py
@@ -238,6 +238,7 @@
             now = self._loop.time()
             quiet_since = max(self._received_at, self._in_use_since)
             if now - quiet_since >= IDLE_TIMEOUT_S:
+                self._going_away.set()
                 self.close(ErrorCode.H3_NO_ERROR, "nothing arrived")
             elif now - max(quiet_since, pinged_at) >= PING_INTERVAL_S:
                 pinged_at = now
@@ -260,16 +261,17 @@
                 step="send request",
                 peer=self._peer,
             )
+        headers = _request_headers(request, authority)
         stream = _Stream(self._quic.get_next_available_stream_id(), self._peer)
         if not self._streams:
             self._in_use_since = self._loop.time()
         self._streams[stream.stream_id] = stream
-        self._h3.send_headers(stream.stream_id, _request_headers(request, authority))
+        self._h3.send_headers(stream.stream_id, headers)
         sender = asyncio.create_task(self._send_body(stream, request))
         try:
             head = await stream.head()
-            headers = _text(head.headers)
-            yield Response(int(headers[0][1]), headers[1:], stream.body(head))
+            status, *fields = _text(head.headers)
+            yield Response(int(status[1]), tuple(fields), stream.body(head))
         finally:
             sender.cancel()
             await asyncio.gather(sender, return_exceptions=True)
@@ -431,7 +433,8 @@
         (":authority", authority),
         (":path", request.path),
     )
-    return [(k.encode(), v.encode()) for k, v in (*pseudo, *request.headers)]
+    fields = ((name.lower(), value) for name, value in request.headers)
+    return [(k.encode(), v.encode()) for k, v in (*pseudo, *fields)]
 
 
 def _text(headers: list[tuple[bytes, bytes]]) -> Headers:
--- a/tests/small_site.py
+++ b/tests/small_site.py
@@ -59,14 +59,16 @@
 
 
 @asynccontextmanager
-async def small_site(files: CertificateFiles) -> AsyncIterator[Site]:
+async def small_site(
+    files: CertificateFiles, loss: float = 0.0, jitter_ms: float = 0.0
+) -> AsyncIterator[Site]:
     site = Site(Address(LOCAL, free_port()))
     async with AsyncExitStack() as stack:
         for number in range(2):
             await _start_target(stack, site, files, f"t{number}")
         for number, ip in enumerate(ENTRY_IPS):
             await _start_entry(stack, site, f"e{number}", ip)
-        impairment = Impairment(source=Random(1))
+        impairment = Impairment(loss, 0.0, jitter_ms, Random(1))
         fabric = Fabric([site.address], list(ENTRY_IPS), impairment)
         await stack.enter_async_context(fabric.running())
         yield site
--- a/tests/test_caller_site.py
+++ b/tests/test_caller_site.py
@@ -22,14 +22,18 @@
         yield site
 
 
-@pytest.fixture
-async def caller(site, files):
-    async with Caller.connect(
+def caller_of(site, files):
+    return Caller.connect(
         site.url,
         ca_file=str(files.certificate),
         retry=RetryPolicy(backoff_ms=5),
         rng=random.Random(1),
-    ) as caller:
+    )
+
+
+@pytest.fixture
+async def caller(site, files):
+    async with caller_of(site, files) as caller:
         yield caller
 
 
@@ -101,6 +105,29 @@
     assert await draining == 0
 
 
+async def test_lost_and_reordered_packets_lose_no_line_and_no_event(files):
+    async with (
+        small_site(files, loss=0.05, jitter_ms=5) as site,
+        caller_of(site, files) as caller,
+        aclosing(caller.feed("/feed")) as feed,
+    ):
+        for number in range(20):
+            key = await caller.new_idempotency_key()
+            answer = await caller.request(
+                "POST",
+                "/lines",
+                body=line(number),
+                idempotency_key=key,
+                deadline_s=30,
+            )
+            assert answer.status == 200
+        numbers = [json.loads(await anext(feed))["sequence"] for _ in range(50)]
+        assert numbers == list(range(numbers[0], numbers[0] + 50))
+        runs = [dict(t.upstream.executions) for t in site.targets]
+        assert {} in runs
+        assert {f"line-{number}": 1 for number in range(20)} in runs
+
+
 async def map_json(lines):
     async for item in lines:
         yield json.loads(item)
