--- a/src/cranberryhold/gossip.py
+++ b/src/cranberryhold/gossip.py
@@ -3,6 +3,7 @@
 import zlib
 from collections.abc import Iterable
 from dataclasses import dataclass, field
+from functools import lru_cache
 from hashlib import blake2b
 from math import ceil, log2
 from struct import Struct as Layout
@@ -33,6 +34,9 @@
 ANTI_ENTROPY_S = 10.0
 """Mean seconds between comparisons with a random member."""
 
+_SHORTEST_WAIT_S = 0.001
+"""A wait below the resolution of the clock would spin."""
+
 _EXCHANGE_ROOM_BYTES = MAX_PAYLOAD_BYTES - 40
 _WANTED_PER_DATAGRAM = 100
 _PAIR = Layout("!II")
@@ -76,7 +80,7 @@
     async def wait_for(self, size: int) -> None:
         """Wait until this many bytes may be sent."""
         while (missing := size - self.available()) > 0:
-            await self._clock.sleep(missing / self._rate)
+            await self._clock.sleep(max(missing / self._rate, _SHORTEST_WAIT_S))
 
 
 def priority_of(member: Member) -> int:
@@ -163,6 +167,7 @@
     return chosen
 
 
+@lru_cache(maxsize=1 << 15)
 def node_hash(node_id: str) -> int:
     """Return the 32-bit hash that names a node in summaries."""
     return zlib.crc32(node_id.encode())
--- a/src/cranberryhold/membership.py
+++ b/src/cranberryhold/membership.py
@@ -88,6 +88,7 @@
     :param contacts: control addresses that may lead to members.
     :param calls: used to pull the table when joining; without it, anti-entropy
         fills the table more slowly.
+    :param table: members that are known from the start, for simulations.
     """
 
     def __init__(
@@ -100,12 +101,13 @@
         contacts: Iterable[Address] = (),
         calls: Calls | None = None,
         budget: Budget | None = None,
+        table: MemberTable | None = None,
     ) -> None:
         self.me = me
         self.clock = clock
         self.rng = rng
         self.budget = budget or Budget(clock)
-        self.table = MemberTable()
+        self.table = MemberTable() if table is None else table
         self.table.merge(me)
         self.roster = Roster(self.table, me.node_id)
         self.rumors = Rumors()
@@ -153,6 +155,7 @@
             async with performing(self.clock, *duties):
                 yield self
         finally:
+            await self._prober.relays.cancel()
             self._say_goodbye()
 
     async def wait_joined(self) -> None:
@@ -316,8 +319,13 @@
                 self.counters.malformed += 1
                 continue
             handler = self._handlers.get(type(message))
-            if handler is not None:
-                handler(message, sender)
+            try:
+                if handler is not None:
+                    handler(message, sender)
+            except Exception:
+                # One datagram must not keep the others from being received.
+                self.counters.malformed += 1
+                logger.exception("event=datagram-failed peer={}", sender)
 
     async def _bootstrap(self) -> None:
         pause, longest = JOIN_RETRY_S
@@ -383,8 +391,8 @@
                 self.send(Join(record_of(self.me)), contact)
             if self._down_since:
                 member = self.table.get(self.rng.choice(list(self._down_since)))
-                if member is not None and await self._prober.reaches(member):
-                    self._anti_entropy.start(member.control_address)
+                if member is not None:
+                    await self._prober.reaches(member)
 
     async def _forget(self) -> None:
         while True:
@@ -426,10 +434,7 @@
         self.send(Welcome(records), sender)
 
     def _on_welcome(self, message: Welcome, sender: Address) -> None:
-        was_joined = self._joined.is_set()
-        self.take(message.rumors, spread=was_joined)
-        if was_joined:
-            self._anti_entropy.start(sender)
+        self.take(message.rumors, spread=self._joined.is_set())
 
     def _on_gossip(self, message: Gossip, sender: Address) -> None:
         self.take(message.rumors)
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -4,10 +4,12 @@
 outcome for success, and against options that the help does not describe.
 """
 
+import asyncio
 import io
 import json
 import re
 from collections.abc import AsyncIterator
+from dataclasses import replace
 from pathlib import Path
 
 import pytest
@@ -27,12 +29,14 @@
     StoreOutcomeUnknownError,
 )
 from cranberryhold.keys import KeyRing
+from cranberryhold.manifest import AcceptedManifest, Manifest
 from cranberryhold.members import Role
 from cranberryhold.node import running_node
 from cranberryhold.settings import EntrySettings, NodeSettings, SidecarSettings
 from emulator.key_values import KeyValues, MemoryStore
 from emulator.platform import Platform
 from tests.environments import ENTRY, RING
+from tests.waiting import until
 
 EXAMPLES = Path(__file__).parent.parent / "examples"
 HIMAL = str(EXAMPLES / "himal-byanjan.yaml")
@@ -226,6 +230,19 @@
     assert key_values.calls.writes == 1
 
 
+async def test_interrupted_apply_is_an_unknown_outcome(
+    store: dict[str, str], key_values: KeyValues, capsys: pytest.CaptureFixture[str]
+) -> None:
+    """The swap may have been sent; a failure would tell that nothing changed."""
+    key_values.faults.answer_delay_s = 60.0
+    apply = ["manifest", "apply", HIMAL, "--submission-id", "run-7"]
+    task = asyncio.create_task(execute(apply, store))
+    await until(lambda: key_values.calls.total > 0)
+    task.cancel()
+    assert await task == 6
+    assert "repeat it with --submission-id run-7" in capsys.readouterr().err
+
+
 async def test_status_and_dump_ask_a_running_member(
     capsys: pytest.CaptureFixture[str],
 ) -> None:
@@ -239,7 +256,8 @@
         address = str(node.me.control_address)
         assert await execute([*status, address], keys) == 0
         line = f"address={address} node=entry-1 generation=0 store_age_s=null\n"
-        assert capsys.readouterr().out == line
+        total = "asked=1 answered=1 oldest_generation=0 newest_generation=0\n"
+        assert capsys.readouterr().out == line + total
         assert await execute([*status, address, "--generation", "1"], keys) == 1
     assert await execute([*status, address], keys) == 4
     dump = ["dump", "--timeout", "0.2", "--address", address]
@@ -249,3 +267,41 @@
 async def test_schema_is_json(capsys: pytest.CaptureFixture[str]) -> None:
     assert await execute(["manifest", "schema"], {}) == 0
     assert json.loads(capsys.readouterr().out)["title"] == "Manifest"
+
+
+async def test_status_asks_all_members_that_a_contact_knows(
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    any_port, keys = Address("127.0.0.1", 0), KeyRing.parse(RING)
+    first = NodeSettings("entry-1", "lalitpur", "np", any_port, (), keys)
+    async with running_node(first, Role.ENTRY, forward_address=any_port) as one:
+        contact = one.me.control_address
+        second = replace(first, node_id="entry-2", contacts=(contact,))
+        async with running_node(second, Role.ENTRY, forward_address=any_port) as two:
+            await until(lambda: len(one.members) == len(two.members) == 2)
+            status = ["manifest", "status", "--contacts", str(contact)]
+            assert await execute(status, {"CRANBERRYHOLD_KEYS": RING}) == 0
+    out = capsys.readouterr().out
+    assert "node=entry-1" in out
+    assert "node=entry-2" in out
+    assert "asked=2 answered=2" in out
+
+
+async def test_manifest_that_the_members_would_ignore_is_refused(
+    store: dict[str, str], key_values: KeyValues, capsys: pytest.CaptureFixture[str]
+) -> None:
+    """A store restored from a snapshot counts from a generation already passed."""
+    any_port = Address("127.0.0.1", 0)
+    settings = NodeSettings("e", "z", "r", any_port, (), KeyRing.parse(RING))
+    async with running_node(settings, Role.ENTRY, forward_address=any_port) as node:
+        node.manifests.adopt(
+            AcceptedManifest(generation=7, submission_id="x", manifest=Manifest())
+        )
+        contacts = str(node.me.control_address)
+        apply = ["manifest", "apply", HIMAL, "--contacts", contacts]
+        keys = {**store, "CRANBERRYHOLD_KEYS": RING}
+        assert await execute(apply, keys) == 3
+        assert "submit with --above-generation 7" in capsys.readouterr().err
+        assert key_values.calls.writes == 0
+        assert await execute([*apply, "--above-generation", "7"], keys) == 0
+        assert "generation=8" in capsys.readouterr().out
--- a/tools/clusters.py
+++ b/tools/clusters.py
@@ -1,12 +1,12 @@
 """Members of a whole cluster in one process and in virtual time."""
 
 import asyncio
-from collections.abc import AsyncIterator, Callable, Coroutine
+from collections.abc import AsyncIterator, Callable
 from contextlib import AsyncExitStack, asynccontextmanager
 from random import Random
 from typing import Any
 
-import looptime
+from loguru import logger
 
 from cranberryhold.addresses import Address
 from cranberryhold.clock import SystemClock
@@ -20,7 +20,7 @@
 from cranberryhold.exceptions import StoreError
 from cranberryhold.links import MemoryLink, MemoryNetwork
 from cranberryhold.manifest import AcceptedManifest, Manifest, Service
-from cranberryhold.members import Member, Role
+from cranberryhold.members import Member, MemberTable, Role
 from cranberryhold.membership import Membership
 from cranberryhold.messages import ManifestRequest, RecordsRequest
 from cranberryhold.store import Store, Versioned
@@ -30,27 +30,22 @@
 PORT = 7000
 
 
-def run_virtual(main: Coroutine[Any, Any, Any]) -> Any:
-    """Run a coroutine on an event loop in virtual time."""
-    loop = looptime.new_event_loop(start=0)
-    asyncio.set_event_loop(loop)
-    try:
-        return loop.run_until_complete(main)
-    finally:
-        loop.run_until_complete(loop.shutdown_asyncgens())
-        loop.close()
-        asyncio.set_event_loop(None)
-
-
 def zone_of(address: Address) -> int:
     """Return the number of the zone that an address of a cluster lies in."""
     return int(address.ip.split(".")[1])
 
 
-def accepted(generation: int, *services: str, port: int = 443) -> AcceptedManifest:
-    """Return a manifest with these services, each with one address."""
+def accepted(
+    generation: int, *services: str, port: int = 443, addresses: int = 1
+) -> AcceptedManifest:
+    """Return a manifest with these services.
+
+    :param addresses: random addresses of each service; many of them make a manifest
+        that does not fit into a datagram even when it is compressed.
+    """
+    rng = Random(f"{generation} {port}")
     declared = tuple(
-        Service(name=name, addresses=(f"10.200.{i}.1:{port}",))
+        Service(name=name, addresses=_addresses(rng, i, port, addresses))
         for i, name in enumerate(services or ("khata-core", "bill-intake"))
     )
     return AcceptedManifest(
@@ -60,6 +55,11 @@
     )
 
 
+def _addresses(rng: Random, number: int, port: int, count: int) -> tuple[str, ...]:
+    hosts = (number << 8 | low for low in rng.sample(range(1, 255), count))
+    return tuple(f"10.200.{host >> 8}.{host & 255}:{port}" for host in hosts)
+
+
 class MemoryStore:
     """One key of the platform's store, with outages and slow answers."""
 
@@ -72,8 +72,12 @@
 
     def put(self, accepted: AcceptedManifest) -> None:
         """Write a manifest, as an operator's ``apply`` or a restored backup does."""
+        self.put_raw(accepted.model_dump_json().encode())
+
+    def put_raw(self, value: bytes) -> None:
+        """Write any bytes."""
         revision = self.value.revision + 1 if self.value else 1
-        self.value = Versioned(accepted.model_dump_json().encode(), revision)
+        self.value = Versioned(value, revision)
         self._changed.set()
         self._changed = asyncio.Event()
 
@@ -101,14 +105,25 @@
     """One member of a cluster, with what its daemon would run."""
 
     def __init__(
-        self, cluster: "Cluster", me: Member, contacts: list[Address], store: Any
+        self,
+        cluster: "Cluster",
+        me: Member,
+        contacts: list[Address],
+        store: Store | None,
+        table: MemberTable | None,
     ) -> None:
         self._cluster = cluster
         self._stack = AsyncExitStack()
         clock, rng = cluster.clock, Random(f"{cluster.seed} {me.node_id}")
         self.link: MemoryLink = cluster.network.link(me.control_address)
         self.membership = Membership(
-            me, self.link, clock=clock, rng=rng, contacts=contacts, calls=self.link
+            me,
+            self.link,
+            clock=clock,
+            rng=rng,
+            contacts=contacts,
+            calls=self.link,
+            table=table,
         )
         self.manifests = ManifestState(clock)
         self.spread = ManifestSpread(self.manifests, self.membership, self.link)
@@ -208,20 +223,26 @@
         *,
         store: Store | None = None,
         incarnation: int = 1000,
-        known: list[Member] = (),
+        known: MemberTable | None = None,
     ) -> Instance:
         """Start one instance; ``known`` is what it believes from the start."""
         me = self.member(number, incarnation=incarnation)
-        instance = Instance(self, me, list(contacts), store)
-        for member in known:
-            instance.membership.table.merge(member)
+        table = known.copy() if known else None
+        instance = Instance(self, me, list(contacts), store, table)
         self.instances.append(instance)
         await instance.start()
         return instance
 
+    def known(self, count: int) -> MemberTable:
+        """Return a table with the first records of this many instances."""
+        table = MemberTable()
+        for number in range(count):
+            table.merge(self.member(number))
+        return table
+
     async def start_all(self, count: int, *, store: Store | None = None) -> None:
         """Start instances that already know each other."""
-        known = [self.member(i) for i in range(count)]
+        known = self.known(count)
         for number in range(count):
             await self.start(number, store=store, known=known)
 
@@ -271,10 +292,22 @@
 
 @asynccontextmanager
 async def running_cluster(seed: int, **options: Any) -> AsyncIterator[Cluster]:
-    """Provide a cluster and end its instances afterwards."""
+    """Provide a cluster and end its instances afterwards.
+
+    :raises RuntimeError: if a duty of an instance raised, which would only be logged.
+    """
     cluster = Cluster(seed, **options)
+    faults: list[str] = []
+    sink = logger.add(faults.append, filter=_is_fault, format="{message}{exception}")
     try:
         yield cluster
     finally:
         for instance in cluster.instances:
             await instance.kill()
+        logger.remove(sink)
+    if faults:
+        raise RuntimeError(f"{len(faults)} duties failed; first: {faults[0]}")
+
+
+def _is_fault(record: Any) -> bool:
+    return record["message"].startswith(("event=duty-failed", "event=datagram-failed"))
