Try down members faster once one of them answers again

Cause: after a partition each member tried one down member every 5 s, so that the last of 150 on the other side was reached late.

Change: after a success the next attempt follows after 0.5 s.

--- a/src/cranberryhold/membership.py
+++ b/src/cranberryhold/membership.py
@@ -52,6 +52,9 @@
 RECONNECT_S = 5.0
 """Mean time between attempts to reach members that are believed down."""
 
+RECONNECT_AGAIN_S = 0.5
+"""The same after a success, which shows that a partition has healed."""
+
 CONTACT_ROUNDS = 6
 """Every sixth attempt goes to a contact that is no known member."""
 
@@ -382,17 +385,18 @@
 
     async def _reconnect(self) -> None:
         """Try members that are down and contacts, so that partitions heal."""
-        rounds = 0
+        rounds, reached = 0, False
         while True:
-            await self.clock.sleep(RECONNECT_S * (0.5 + self.rng.random()))
-            rounds += 1
+            mean = RECONNECT_AGAIN_S if reached else RECONNECT_S
+            await self.clock.sleep(mean * (0.5 + self.rng.random()))
+            rounds, reached = rounds + 1, False
             if rounds % CONTACT_ROUNDS == 0 and self._contacts:
                 contact = self.rng.choice(self._contacts)
                 self.send(Join(record_of(self.me)), contact)
             if self._down_since:
                 member = self.table.get(self.rng.choice(list(self._down_since)))
                 if member is not None:
-                    await self._prober.reaches(member)
+                    reached = await self._prober.reaches(member)
 
     async def _forget(self) -> None:
         while True:
