--- a/src/cranberryhold/entry.py
+++ b/src/cranberryhold/entry.py
@@ -71,7 +71,7 @@
         self._to_caller = ForwardCodec(keys, Direction.TO_CALLER)
         self._accepted: AcceptedManifest | None = None
         self._ports: dict[Address, _ServicePort] = {}
-        self._reply_ports: dict[Address, _ServicePort] = {}
+        self._reply_ports: dict[bytes, _ServicePort] = {}
         self._forward: socket.socket | None = None
         self._counts: Counter[str] = Counter()
         self._drops: Counter[Drop] = Counter()
@@ -127,13 +127,13 @@
             before = self._ports.get(listen)
             wanted[listen] = _ServicePort(
                 listen,
-                self._tables[name],
+                self._targets_of(name, addresses[0]),
                 addresses,
                 addresses[0].pack(),
                 before.sock if before is not None else None,
             )
         self._ports = wanted
-        self._reply_ports = {a: p for p in wanted.values() for a in p.addresses}
+        self._reply_ports = {a.pack(): p for p in wanted.values() for a in p.addresses}
         if self._forward is not None:
             self._open_ports()
         logger.info(
@@ -178,8 +178,19 @@
                         step="open addresses",
                     )
                 wanted[listen] = (name, (*addresses, address))
+        for released in accepted.released:
+            address = Address.parse(released.address)
+            listen = Address(self._settings.listen_ip or address.ip, address.port)
+            wanted.setdefault(listen, (released.service, (address,)))
         return wanted
 
+    def _targets_of(self, name: str, address: Address) -> ServiceTargets:
+        """Return a service's targets; a released address takes no new flows."""
+        released = {r.address for r in self._accepted.released}
+        if str(address) in released:
+            return ServiceTargets.without_new_flows(name)
+        return self._tables[name]
+
     def _open_ports(self) -> None:
         for port in self._ports.values():
             if port.sock is not None:
@@ -241,7 +252,7 @@
         self._counts["forwarded"] += forwarded
 
     def _take_replies(self, sock: socket.socket) -> None:
-        decode, ports = self._to_caller.decode, self._reply_ports
+        decode, ports = self._to_caller.decode_packed, self._reply_ports
         for _ in range(_BATCH_PACKETS):
             try:
                 datagram = sock.recv(_RECEIVE_BYTES)
@@ -250,17 +261,18 @@
             if len(datagram) == _RECEIVE_BYTES:
                 self._drops[Drop.OVERSIZED] += 1
                 continue
-            reply = decode(datagram)
-            if reply is None:
+            addresses = decode(datagram)
+            if addresses is None:
                 self._drops[Drop.FORGED_HEADER] += 1
                 continue
-            port = ports.get(reply.service_address)
+            caller, service_address = addresses
+            port = ports.get(service_address)
             if port is None or port.sock is None:
                 self._drops[Drop.UNKNOWN_ADDRESS] += 1
                 continue
-            caller = reply.caller
+            packet = datagram[FORWARD_HEADER_BYTES:]
             try:
-                port.sock.sendto(reply.packet, (caller.ip, caller.port))
+                port.sock.sendto(packet, _unpack(caller))
             except OSError:
                 self._drops[Drop.SEND_FAILED] += 1
             else:
