Measure the slopes of memory, bytes and processor time

Cause: whether the design carries the two-year size (930 entry instances, 6,500 targets) was argued in docs/design.md and measured nowhere.

Change: `make slopes` measures what a member, service, flow, packet, request, idempotency record, kilobyte of manifest, change, datagram of each type and waiting watch cost, each at three sizes or more, and records points, fit and largest residual in docs/slopes.json.

--- /dev/null
+++ b/tests/test_slopes.py
@@ -0,0 +1,72 @@
+"""Fits of the slopes, and that each kind of load has been measured."""
+
+import json
+import re
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from cranberryhold.messages import Datagram
+from tools.slope_parts.fits import MIN_POINTS, Slope
+from tools.slope_parts.meters import memory
+from tools.slopes import RECORDED, load, record
+
+coefficients = st.floats(-1e6, 1e6)
+
+
+@given(coefficients, coefficients)
+def test_fit_of_points_on_a_line_is_that_line(base: float, each: float) -> None:
+    points = tuple((x, base + each * x) for x in (1.0, 10.0, 100.0))
+    slope = Slope("s", "B", "x", points)
+    tolerance = 1e-6 * (1 + abs(base) + abs(each))
+    assert slope.slope == pytest.approx(each, abs=tolerance)
+    assert slope.base == pytest.approx(base, abs=tolerance)
+    assert slope.residual <= 100 * tolerance
+
+
+def test_a_curve_is_marked_and_its_residual_recorded() -> None:
+    slope = Slope("s", "B", "x", ((0, 0), (10, 100), (20, 400)))
+    assert slope.is_curved
+    assert slope.as_dict()["largest_residual"] == pytest.approx(200 / 3)
+
+
+@pytest.mark.parametrize("points", [((1, 1), (2, 2)), ((1, 1), (2, 2), (2, 3))])
+def test_a_fit_from_fewer_than_three_sizes_is_refused(points: tuple) -> None:
+    with pytest.raises(ValueError, match="at least 3 sizes"):
+        Slope("s", "B", "x", points)
+
+
+def test_recorded_fits_are_made_from_their_points() -> None:
+    for entry in json.loads(RECORDED.read_text())["slopes"]:
+        assert len({x for x, _ in entry["points"]}) >= MIN_POINTS
+        slope = Slope.from_dict(entry)
+        # Equality to the last digit would depend on the order of additions.
+        assert entry["slope"] == pytest.approx(slope.slope, rel=1e-9)
+        assert entry["base"] == pytest.approx(slope.base, rel=1e-9, abs=1e-12)
+        assert entry["largest_residual"] == pytest.approx(slope.residual, abs=1e-9)
+
+
+def test_memory_meter_counts_what_is_kept_alone() -> None:
+    """Guards against counting what the measured code has freed again."""
+    with memory() as kept:
+        data = bytes(1_000_000)
+        bytes(5_000_000)
+    assert kept.value == pytest.approx(len(data), rel=0.02)
+
+
+def test_recording_keeps_the_points(tmp_path) -> None:
+    slope = Slope("s", "B", "x", ((1, 1.5), (2, 2.5), (4, 3.0)))
+    record([slope], 7, tmp_path / "slopes.json")
+    command, slopes = load(tmp_path / "slopes.json")
+    assert slopes == {"s": slope}
+    assert "--seed 7" in command
+
+
+def test_every_type_of_datagram_is_measured() -> None:
+    _, slopes = load()
+    for kind in Datagram.__subclasses__():
+        name = re.sub(r"(?<!^)(?=[A-Z])", "-", kind.__name__).lower()
+        if kind.__module__ == "cranberryhold.messages":
+            assert f"datagram.{name}.wire" in slopes
+            assert f"datagram.{name}.time" in slopes
--- /dev/null
+++ b/tools/slope_parts/manifests.py
@@ -0,0 +1,152 @@
+"""Bytes, memory and processor time per kilobyte of manifest and per change."""
+
+import asyncio
+from collections.abc import Iterator
+from random import Random
+
+from cranberryhold.clock import SystemClock
+from cranberryhold.deltas import (
+    apply_delta,
+    delta_to,
+    encode_delta,
+    manifest_digest,
+    read_delta,
+    service_digests,
+)
+from cranberryhold.distribution import ManifestSpread, ManifestState
+from cranberryhold.links import MemoryNetwork
+from cranberryhold.manifest import (
+    AcceptedManifest,
+    ClassKind,
+    Manifest,
+    RequestClass,
+    Service,
+)
+from cranberryhold.membership import Membership
+from cranberryhold.messages import ManifestRequest, encode
+from tools.clusters import Cluster
+from tools.slope_parts.fits import Slope
+from tools.slope_parts.meters import memory, processor
+
+_SERVICES = (50, 200, 650)
+_ROUNDS = 3
+
+
+def _classes(number: int) -> tuple[RequestClass, ...]:
+    return (
+        RequestClass(
+            name="feeds", kind=ClassKind.FEED, path_prefix=f"/{number}/feeds/"
+        ),
+        RequestClass(
+            name="uploads",
+            kind=ClassKind.LONG,
+            path_prefix=f"/{number}/sheets/",
+            deadline_s=600 + number,
+        ),
+        RequestClass(
+            name="lines",
+            methods=("POST",),
+            at_most_once=True,
+            queue_limit=100 + number,
+        ),
+        RequestClass(name="reads"),
+    )
+
+
+def accepted(services: int, generation: int) -> AcceptedManifest:
+    """Return a manifest with one address per service; each generation changes one."""
+    declared = tuple(
+        Service(
+            name=f"service-{n:04}",
+            addresses=(f"10.{200 + n // 250}.{n % 250}.1:443",),
+            slots_per_target=4 + (n < generation),
+            classes=_classes(n),
+        )
+        for n in range(services)
+    )
+    return AcceptedManifest(
+        generation=generation,
+        submission_id=f"pipeline-run-{generation:08}",
+        manifest=Manifest(services=declared),
+    )
+
+
+def slopes(seed: int) -> Iterator[Slope]:
+    """Yield costs by kilobyte of the document, and its size by service."""
+    first = {n: accepted(n, 1) for n in _SERVICES}
+    texts = {
+        n: m.model_dump_json(exclude_defaults=True).encode() for n, m in first.items()
+    }
+    kilobytes = {n: len(text) / 1000 for n, text in texts.items()}
+    points = tuple((n, len(texts[n])) for n in _SERVICES)
+    yield Slope("manifest.bytes", "bytes", "service", points)
+    requests = {
+        n: ManifestRequest(generation=1, digests=service_digests(m))
+        for n, m in first.items()
+    }
+    points = tuple((n, len(encode(requests[n]))) for n in _SERVICES)
+    yield Slope("manifest.request.bytes", "bytes", "service", points)
+    points = tuple((n, _delta_bytes(n)) for n in (1, 2, 4))
+    yield Slope("manifest.delta.bytes", "bytes", "changed service", points)
+    points = tuple((kilobytes[n], _memory(texts[n])) for n in _SERVICES)
+    yield Slope("manifest.memory", "bytes", "kB of manifest", points)
+    points = tuple((kilobytes[n], _adopt_seconds(seed, n)) for n in _SERVICES)
+    yield Slope("manifest.adopt.time", "s", "kB of manifest", points)
+    points = tuple((kilobytes[n], _read_seconds(texts[n])) for n in _SERVICES)
+    yield Slope("manifest.read.time", "s", "kB of manifest", points)
+
+
+def _delta_bytes(changed: int) -> int:
+    base, after = accepted(10, 1), accepted(10, 2)
+    digests = service_digests(after)
+    known = dict(list(service_digests(base).items())[changed:])
+    known |= {n: d for n, d in digests.items() if n in known}
+    return len(encode_delta(delta_to(after, known, digests)))
+
+
+def _memory(text: bytes) -> float:
+    with memory() as kept:
+        manifest = AcceptedManifest.model_validate_json(text)
+        digests = service_digests(manifest)
+    assert digests
+    return kept.value
+
+
+def _read_seconds(text: bytes) -> float:
+    spent = []
+    for _ in range(_ROUNDS):
+        with processor() as reading:
+            AcceptedManifest.model_validate_json(text)
+        spent.append(reading.value)
+    return min(spent)
+
+
+def _adopt_seconds(seed: int, services: int) -> float:
+    """Return the time from an inline delta to the announcement passed on."""
+
+    async def run() -> float:
+        cluster = Cluster(seed)
+        me = cluster.member(0)
+        link = MemoryNetwork(lambda source, target: None).link(me.control_address)
+        clock = SystemClock()
+        membership = Membership(me, link, clock=clock, rng=Random(seed))
+        for number in range(1, 20):
+            membership.merge(cluster.member(number))
+        state = ManifestState(clock)
+        ManifestSpread(state, membership, link)
+        before = accepted(services, 1)
+        state.adopt(before)
+        spent = []
+        for generation in range(2, 2 + _ROUNDS):
+            after = accepted(services, generation)
+            digests = service_digests(after)
+            delta = encode_delta(delta_to(after, service_digests(before), digests))
+            with processor() as reading:
+                result = apply_delta(state.current, read_delta(delta))
+                manifest_digest(result)
+                assert state.adopt(result)
+            spent.append(reading.value)
+            before = after
+        return min(spent)
+
+    return asyncio.run(run())
--- /dev/null
+++ b/tools/slope_parts/state.py
@@ -0,0 +1,170 @@
+"""Memory of the state that a daemon holds, and time per packet of the data path."""
+
+import asyncio
+from collections.abc import Callable, Iterator
+from functools import partial
+from random import Random
+
+from msgspec.msgpack import Decoder
+
+from cranberryhold.addresses import Address
+from cranberryhold.clock import SystemClock
+from cranberryhold.connection_ids import TargetRef
+from cranberryhold.idempotency import Answer, IdempotencyKey, RecordTable
+from cranberryhold.links import MemoryNetwork
+from cranberryhold.members import Member, MemberTable, Role
+from cranberryhold.membership import Membership
+from cranberryhold.messages import Record, encode, raw_record, record_of
+from cranberryhold.packets import Direction, ForwardCodec
+from cranberryhold.placement import MaglevTable, table_size
+from cranberryhold.routing import Router
+from cranberryhold.targets import TargetTables
+from tools.bench_parts import KEYS, flow_packet
+from tools.clusters import Cluster
+from tools.slope_parts.fits import Slope
+from tools.slope_parts.meters import fastest, memory
+
+_TARGETS_PER_SERVICE = 10
+_ANSWER_BYTES = 200
+_BUILDS = (10, 100, 600)
+"""Numbers of targets, one for each size of the table."""
+_record = Decoder(Record)
+
+
+def slopes(seed: int) -> Iterator[Slope]:
+    """Yield memory per member, table and record, and time per packet."""
+    points = tuple((n, _member_memory(seed, n)) for n in (500, 2000, 7430))
+    yield Slope("member.memory", "bytes", "member", points)
+    points = tuple((n, _table_memory(n)) for n in (25, 50, 100))
+    yield Slope("service.table.memory", "bytes", "service of 10 targets", points)
+    points = tuple((table_size(n), fastest(lambda n=n: _build(n))) for n in _BUILDS)
+    yield Slope("table.rebuild.time", "s", "table slot", points)
+    points = tuple((n, _record_memory(n)) for n in (1000, 5000, 20000))
+    yield Slope("idempotency.memory", "bytes", "record with 200-byte answer", points)
+    points = tuple((n, _record_time(n)) for n in (1000, 5000, 20000))
+    yield Slope("idempotency.time", "s", "record", points)
+    yield from _packets()
+
+
+def _member_memory(seed: int, count: int) -> float:
+    """Return the bytes of a membership that knows ``count`` members."""
+    with memory() as kept:
+        membership = known_members(seed, count)
+    assert len(membership.table) == count
+    return kept.value
+
+
+def known_members(seed: int, count: int) -> Membership:
+    """Return a membership that has received the records of ``count`` members."""
+
+    async def build() -> Membership:
+        cluster = Cluster(seed, zones=8)
+        raw_record.cache_clear()
+        me = cluster.member(0)
+        link = MemoryNetwork(lambda source, target: None).link(me.control_address)
+        membership = Membership(me, link, clock=SystemClock(), rng=Random(seed))
+        for number in range(1, count):
+            # Decoding gives each record strings of its own, as in a daemon.
+            raw = encode(record_of(cluster.member(number)))
+            member = _record.decode(raw).member()
+            membership.merge(member, spread=False)
+            raw_record(member)
+        return membership
+
+    return asyncio.run(build())
+
+
+def _members(services: int, per_service: int) -> MemberTable:
+    table = MemberTable()
+    for number in range(services * per_service):
+        where = Address(f"10.{number >> 16}.{number >> 8 & 255}.{number & 255}", 443)
+        service = f"service-{number // per_service}"
+        table.merge(Member(f"t{number}", Role.SIDECAR, "z", "r", where, where, service))
+    return table
+
+
+def _table_memory(services: int) -> float:
+    members = _members(services, _TARGETS_PER_SERVICE)
+
+    async def build() -> float:
+        with memory() as kept:
+            tables = TargetTables(members, SystemClock())
+            tables.track(f"service-{i}" for i in range(services))
+            tables.refresh()
+        assert len(list(tables)) == services
+        return kept.value
+
+    return asyncio.run(build())
+
+
+def _build(targets: int) -> MaglevTable:
+    return MaglevTable((i.to_bytes(6, "big"), 100) for i in range(targets))
+
+
+def _with_records(count: int, measure: Callable[[Callable], float]) -> float:
+    async def run() -> float:
+        clock = SystemClock()
+        target = TargetRef(Address("10.0.0.1", 443), 1, 1)
+
+        def fill() -> RecordTable:
+            table = RecordTable(clock)
+            for number in range(count):
+                nonce = number.to_bytes(8, "big")
+                key = IdempotencyKey(target, nonce, clock.wall())
+                record = table.open(key, f"POST /lines/{number}")
+                record.digest = nonce * 4
+                body = bytes(_ANSWER_BYTES - 8) + nonce
+                table.close_answered(record, Answer(200, (), body))
+            return table
+
+        return measure(fill)
+
+    return asyncio.run(run())
+
+
+def _record_memory(count: int) -> float:
+    def measure(fill: Callable) -> float:
+        with memory() as kept:
+            table = fill()
+        assert len(table) == count
+        return kept.value
+
+    return _with_records(count, measure)
+
+
+def _record_time(count: int) -> float:
+    return _with_records(count, lambda fill: fastest(fill, 3))
+
+
+def _packets() -> Iterator[Slope]:
+    members = _members(650, _TARGETS_PER_SERVICE)
+    # The benchmark's flow packets name its own service.
+    own = [Address(f"127.0.1.{n}", 443) for n in range(1, 11)]
+    for number, where in enumerate(own):
+        members.merge(
+            Member(f"c{number}", Role.SIDECAR, "z", "r", where, where, "core")
+        )
+    tables = TargetTables(members)
+    tables.track(["core", *(f"service-{i}" for i in range(650))])
+
+    async def refresh() -> None:
+        tables.refresh()
+
+    asyncio.run(refresh())
+    router, service = Router(KEYS, tables), tables["core"]
+    header_for = ForwardCodec(KEYS, Direction.TO_TARGET).header_for
+    counts = (2000, 5000, 10000)
+    flows = [flow_packet(own[n % 10], n) for n in range(counts[-1])]
+    firsts = [
+        (b"\xc0\x00\x00\x00\x01\x08" + n.to_bytes(8, "big")).ljust(1200, b"\0")
+        for n in range(counts[-1])
+    ]
+    caller = own[0].pack()
+
+    def forward(packets: list[bytes], count: int) -> None:
+        for packet in packets[:count]:
+            header_for(caller, router.route(service, packet)) + packet
+
+    for name, packets in (("flow.packet.time", flows), ("flow.new.time", firsts)):
+        points = tuple((n, fastest(partial(forward, packets, n), 3)) for n in counts)
+        yield Slope(name, "s", "packet", points)
