Write the capacity page from the recorded slopes

Cause: the costs of each role at today's sizes and at the two-year size were not on any page, nor was what does not fit.

Change: `python -m tools.capacity` computes docs/CAPACITY.md from docs/slopes.json: a table per role, what happens instead of load reports, watches and leases, and the costs of manifest changes, lost data centres, separated regions, replacement of all instances and store outages. Limits that are passed are listed at the top.

--- /dev/null
+++ b/tools/capacity.py
@@ -0,0 +1,217 @@
+"""Writes docs/CAPACITY.md from the recorded slopes in docs/slopes.json.
+
+``--check`` compares instead of writing; the exit code is 1 if the page differs.
+"""
+
+import argparse
+import sys
+from pathlib import Path
+
+from tools.capacity_parts import events, roles
+from tools.capacity_parts.markdown import Figure, plain_table, role_table, text, wrapped
+from tools.capacity_parts.model import Model
+from tools.capacity_parts.sizes import (
+    BYTES_PER_SECOND_LIMIT,
+    CHANGE_LIMIT_S,
+    CORE_LIMIT,
+    MEMORY_LIMIT,
+    SITES,
+)
+from tools.slope_parts.fits import Slope
+from tools.slopes import RECORDED, load
+
+PAGE = RECORDED.parent / "CAPACITY.md"
+
+_ROLES: tuple[tuple[str, list[Figure]], ...] = (
+    ("Entry instance", roles.ENTRY),
+    ("Sidecar", roles.SIDECAR),
+    ("Extra duty of a manifest reader", roles.READER),
+    ("The platform's key-value service", roles.PLATFORM),
+    ("The operator's commands", roles.OPERATORS),
+)
+
+_EVENTS = ("zone.lost", "zone.back", "regions")
+
+
+def page(command: str, slopes: dict[str, Slope]) -> str:
+    """Return the page.
+
+    :param command: command of the recorded run, with its seed.
+    """
+    models = [Model(slopes, site) for site in SITES]
+    largest = models[-1]
+    sections = [
+        _opening(command),
+        "## What does not fit\n\n" + _findings(models),
+        *(
+            f"## {title}\n\nFrom `{command}`.\n\n{role_table(figures, models)}\n"
+            for title, figures in _ROLES
+        ),
+        "## Load reports\n\n" + events.load_reports(largest),
+        "## Watches and leases\n\n" + events.store_calls(models),
+        "## Changes of the manifest\n\n" + events.manifest_changes(largest),
+        "## Data centres and regions\n\n" + events.large_events(largest),
+        "## Restarts and the steady day\n\n" + events.replacement(largest),
+        "## Store outages\n\n" + events.outage(largest),
+        "## Slopes\n\n" + _slope_table(slopes),
+    ]
+    return wrapped("\n\n".join(sections))
+
+
+def _opening(command: str) -> str:
+    return f"""# Capacity
+
+This page is written by `python -m tools.capacity` from `docs/slopes.json`, which
+`{command}` recorded on one machine. Each figure is a slope times a size; the last table
+shows the points of each slope. Change neither figures nor text here.
+
+Costs that grow with the logarithm of the members were measured in clusters of 32 to
+256 members in one process and in virtual time, and are extrapolated to 7,430 members.
+Processor times are those of the measuring machine. No rates are given for the sites of
+today (13 members each): theirs are those of the two-year size in proportion to
+members, services and flows.
+"""
+
+
+def _findings(models: list[Model]) -> str:
+    """Return what passes its limit, at the two-year size and in the measured runs."""
+    model = models[-1]
+    found = []
+    for title, figures in _ROLES:
+        for figure in figures:
+            if figure.exceeded(model):
+                value = text(figure.value(model), figure.unit)
+                limit = text(figure.limit, figure.unit)
+                found.append(f"{title}: {figure.name} is {value}, above {limit}.")
+    found += _slow_events(model)
+    found += _peaks(model)
+    if not model.delta_fits:
+        found.append(
+            f"The delta of one service ({text(model.delta_bytes, 'B')}) does not fit "
+            f"in the datagram, so each member pulls each change "
+            f"({text(model.pulled_bytes, 'B')}). Mechanism: smaller deltas."
+        )
+    if events.hop_seconds(model) > CHANGE_LIMIT_S:
+        found.append(
+            f"A change needs {text(events.hop_seconds(model), 's')} to reach all, as "
+            "each step validates the whole manifest. Mechanism: pass the announcement "
+            "on before adopting, or validate changed services alone."
+        )
+    if model.request_bytes > BYTES_PER_SECOND_LIMIT:
+        found.append(
+            f"The request of a manifest pull has {text(model.request_bytes, 'B')}, "
+            "more than a second's budget. It is sent only after a missed change. "
+            "Mechanism: name the generation alone, and let the answering member keep "
+            "the digests of recent generations; the list remains for older ones. It "
+            "takes one more field and a short history at each member."
+        )
+    found += _bursts(model)
+    for each in models:
+        found += _memory_with_flows(each)
+    if not found:
+        return "Nothing passes its limit at the two-year size.\n"
+    return "\n".join(f"- {item}" for item in found) + "\n"
+
+
+def _slow_events(model: Model) -> list[str]:
+    zone = events.zone_members(model)
+    named = (
+        ("a lost data centre", "zone.lost", zone),
+        ("one that comes back", "zone.back", zone),
+        ("regions that are joined again", "regions", model.site.members),
+    )
+    slow = []
+    for label, name, news in named:
+        seconds = events.event_seconds(model, name, news)
+        if seconds > CHANGE_LIMIT_S:
+            slow.append(f"{label}: {news:,.0f} members, {text(seconds, 's')}")
+    if not slow:
+        return []
+    return [
+        "The news of large events does not spread in seconds within the byte budget: "
+        f"{'; '.join(slow)}. The budget holds, and the views agree that much later. "
+        "Mechanism that would carry it: one record for a whole data centre, confirmed "
+        "by several observers. It takes a new record type and a rule for refuting it."
+    ]
+
+
+def _peaks(model: Model) -> list[str]:
+    over = []
+    for name in _EVENTS:
+        size, peak = max(model.slopes[f"{name}.peak"].points, key=lambda p: p[1])
+        if peak > BYTES_PER_SECOND_LIMIT:
+            over.append(f"{text(peak, 'B')} in `{name}` with {2**size:.0f} members")
+    if not over:
+        return []
+    return [
+        "In the measured events one member sent more than "
+        f"{text(BYTES_PER_SECOND_LIMIT, 'B')} within one second: {'; '.join(over)}. "
+        "The token bucket lets a burst of half a second through, probes and their "
+        "answers overdraw it, and answers to pulls of the table are not held back. "
+        "Mechanism that would carry it: a smaller burst, and waiting before a pull is "
+        "answered."
+    ]
+
+
+def _bursts(model: Model) -> list[str]:
+    core = events.burst_core(model)
+    if core <= CORE_LIMIT:
+        return []
+    return [
+        f"A burst of {events.BURST_CHANGES} changes of the manifest within "
+        f"{events.BURST_S:.0f} s takes {text(core, 'core')} at each member for that "
+        f"long, above {text(CORE_LIMIT, 'core')}, which carries "
+        f"{events.changes_per_minute(model):.0f} changes a minute. Mechanism that "
+        "would carry it: validate and digest the changed services alone. It takes a "
+        "check of names and addresses across services that does not read all "
+        "of them again."
+    ]
+
+
+def _memory_with_flows(model: Model) -> list[str]:
+    flows = model.connections_memory + model.records_memory
+    total = model.sidecar_memory + flows
+    if total <= MEMORY_LIMIT:
+        return []
+    return [
+        f"{model.site.name}: a sidecar with {model.site.flows_per_target:,.0f} open "
+        f"connections and all its idempotency records holds {text(total, 'B')}. The "
+        f"limit of {text(MEMORY_LIMIT, 'B')} is one of control, of which it holds "
+        f"{text(model.sidecar_memory, 'B')}; an instance needs memory for both."
+    ]
+
+
+def _slope_table(slopes: dict[str, Slope]) -> str:
+    rows = []
+    for slope in slopes.values():
+        points = ", ".join(f"{x:.4g}: {y:.4g}" for x, y in slope.points)
+        note = " (a curve)" if slope.is_curved else ""
+        rows.append(
+            (
+                f"`{slope.name}`",
+                slope.unit,
+                slope.per,
+                points,
+                f"{slope.slope:.4g}",
+                f"{slope.base:.4g}",
+                f"{slope.residual:.3g}{note}",
+            )
+        )
+    columns = ("slope", "unit", "per", "points", "per unit", "at 0", "largest residual")
+    return plain_table(columns, rows) + "\n"
+
+
+def main() -> None:
+    """Write the page, or compare it."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--check", action="store_true", help="compare, don't write")
+    parser.add_argument("--slopes", type=Path, default=RECORDED)
+    options = parser.parse_args()
+    written = page(*load(options.slopes))
+    if options.check:
+        sys.exit(0 if PAGE.read_text() == written else 1)
+    PAGE.write_text(written)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tools/capacity_parts/__init__.py
@@ -0,0 +1,1 @@
+"""How the capacity page is computed from the recorded slopes."""
