Prove at most once and pairs of faults by scripted scenarios

Cause: at most once was tested at the pipeline only, and faults only one at a time. Change: eight scenarios with keys through other targets, the target's death, a reused address, parted targets, a drain and an expired key; nine pairs of faults under open feeds.

--- /dev/null
+++ b/tests/script.py
@@ -0,0 +1,64 @@
+"""What the steps of a scenario share: the deployment, virtual time, results."""
+
+import asyncio
+from collections.abc import Awaitable
+
+import looptime
+
+from cranberryhold.manifest import ClassKind, RequestClass, Service
+from cranberryhold.routing import Drop
+from tests.stock_client import Answer
+from tests.world import World, WorldCaller
+
+ZONES = {
+    "Himal": (["baneshwor", "lalitpur", "bhaktapur"], 0.004, 4),
+    "Gebeya": (["addis-a", "addis-b", "addis-c"], 0.003, 3),
+}
+PORTS = {"khata-core": 4433, "bill-intake": 4434, "returns-core": 4435}
+
+
+class Script:
+    """What the steps of one scenario share."""
+
+    def __init__(self, certificate: tuple[str, str]) -> None:
+        self.loop = looptime.new_event_loop()
+        self.certificate = certificate
+        self.world: World
+        self.slots = 0
+        self.connection: WorldCaller
+        self.answer: asyncio.Future
+        self.drains: dict[str, asyncio.Task[int]] = {}
+        self.runs_before: dict[str, int] = {}
+        self.answers: list[tuple[str, str, Answer]] = []
+        self.seen: list[Drop] = []
+        self.other: WorldCaller
+        self.key = ""
+        self.line_answers: list[Answer] = []
+
+    def run(self, awaitable: Awaitable):
+        """Run until it is done, in virtual time."""
+        return self.loop.run_until_complete(awaitable)
+
+    def close(self) -> None:
+        """Cancel what still runs."""
+        tasks = asyncio.all_tasks(self.loop)
+        for task in tasks:
+            task.cancel()
+        self.run(asyncio.gather(*tasks, return_exceptions=True))
+        self.loop.close()
+
+
+def service(name: str, slots: int) -> Service:
+    classes = (
+        RequestClass(name="feed", kind=ClassKind.FEED, path_prefix="/feed"),
+        RequestClass(
+            name="line", methods=("POST",), path_prefix="/lines", at_most_once=True
+        ),
+        RequestClass(name="work", deadline_s=1000),
+    )
+    return Service(
+        name=name,
+        addresses=(f"127.0.0.1:{PORTS[name]}",),
+        slots_per_target=slots,
+        classes=classes,
+    )
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -2,56 +2,25 @@
 
 import asyncio
 import json
-from collections.abc import Awaitable, Iterator
+from collections.abc import Iterator
 
-import looptime
 import pytest
 from pytest_bdd import given, parsers, scenarios, step, then, when
 
-from cranberryhold.manifest import ClassKind, RequestClass, Service
+from cranberryhold.exchange import KEY_PATH
 from cranberryhold.members import MemberState
 from cranberryhold.packets import Direction, ForwardCodec
 from cranberryhold.routing import Drop
+from tests.script import ZONES, Script, service
+from tests.waiting import until
 from tests.world import KEYS, World, WorldCaller
 
 scenarios("features")
 
-ZONES = {
-    "Himal": (["baneshwor", "lalitpur", "bhaktapur"], 0.004, 4),
-    "Gebeya": (["addis-a", "addis-b", "addis-c"], 0.003, 3),
-}
-PORTS = {"khata-core": 4433, "bill-intake": 4434, "returns-core": 4435}
 UNITS = {"hour": 3600.0, "second": 1.0}
 H3_REQUEST_REJECTED = 0x10B
 LONGEST_SILENCE_S = 60.0
-
-
-class Script:
-    """What the steps of one scenario share."""
-
-    def __init__(self, certificate: tuple[str, str]) -> None:
-        self.loop = looptime.new_event_loop()
-        self.certificate = certificate
-        self.world: World
-        self.slots = 0
-        self.connection: WorldCaller
-        self.answer: asyncio.Future
-        self.drains: dict[str, asyncio.Task[int]] = {}
-        self.runs_before: dict[str, int] = {}
-        self.answers: list[tuple[str, str, tuple[int, bytes]]] = []
-        self.seen: list[Drop] = []
-
-    def run(self, awaitable: Awaitable):
-        """Run until it is done, in virtual time."""
-        return self.loop.run_until_complete(awaitable)
-
-    def close(self) -> None:
-        """Cancel what still runs."""
-        tasks = asyncio.all_tasks(self.loop)
-        for task in tasks:
-            task.cancel()
-        self.run(asyncio.gather(*tasks, return_exceptions=True))
-        self.loop.close()
+LINE_RUN = "POST /lines 17"
 
 
 @pytest.fixture
@@ -62,19 +31,6 @@
     script.close()
 
 
-def service(name: str, slots: int) -> Service:
-    classes = (
-        RequestClass(name="feed", kind=ClassKind.FEED, path_prefix="/feed"),
-        RequestClass(name="work", deadline_s=1000),
-    )
-    return Service(
-        name=name,
-        addresses=(f"127.0.0.1:{PORTS[name]}",),
-        slots_per_target=slots,
-        classes=classes,
-    )
-
-
 @given(parsers.parse("the data centres of {user} with {count:d} entry instances"))
 def _(script: Script, user: str, count: int) -> None:
     zones, delay_s, script.slots = ZONES[user]
@@ -106,7 +62,7 @@
         script.run(script.world.open_feed(name))
 
 
-@given(parsers.parse("links between zones lose {percent:d} % and vary by {ms:d} ms"))
+@step(parsers.parse("links between zones lose {percent:d} % and vary by {ms:d} ms"))
 def _(script: Script, percent: int, ms: int) -> None:
     script.world.network.loss = percent / 100
     script.world.network.jitter_s = ms / 1000
@@ -117,6 +73,28 @@
     script.world.cut_off.add(name)
 
 
+@when(parsers.parse("the zone of feed {number:d} is cut from the others"))
+def _(script: Script, number: int) -> None:
+    world = script.world
+    target = world.targets[world.target_of(world.feeds[number - 1].caller)]
+    world.network.cut_zones.add(target.member.zone)
+
+
+@when("the faults are mended")
+def _(script: Script) -> None:
+    async def mend() -> None:
+        world = script.world
+        world.network.loss = world.network.jitter_s = 0.0
+        world.network.cut_zones.clear()
+        for name in list(world.network.frozen):
+            world.network.resume(name)
+        for name in list(world.cut_off):
+            world.cut_off.discard(name)
+            world.learn_all(name)
+
+    script.run(mend())
+
+
 @given(parsers.parse("only entry instance {name} gets packets"))
 def _(script: Script, name: str) -> None:
     script.world.sprayed_to = [name]
@@ -228,13 +206,15 @@
 
 @given(parsers.parse("a connection to target {name}"))
 def _(script: Script, name: str) -> None:
-    async def open_there() -> WorldCaller:
-        while True:
-            caller = await script.world.connect(name.rpartition("-")[0])
-            if script.world.target_of(caller) == name:
-                return caller
+    script.connection = script.run(connect_to(script, name))
 
-    script.connection = script.run(open_there())
+
+async def connect_to(script: Script, name: str) -> WorldCaller:
+    """Open connections until one is at this target."""
+    while True:
+        caller = await script.world.connect(name.rpartition("-")[0])
+        if script.world.target_of(caller) == name:
+            return caller
 
 
 @given(parsers.parse("a request of {seconds:d} seconds is running on the connection"))
@@ -392,3 +372,75 @@
     (drain,) = script.drains.values()
     assert drain.done()
     assert drain.result() == int(count)
+
+
+@given("an idempotency key from the connection")
+def _(script: Script) -> None:
+    status, key = script.run(script.connection.get(KEY_PATH))
+    assert status == 200
+    script.key = key.decode()
+
+
+@given(parsers.parse("another connection to target {name}"))
+def _(script: Script, name: str) -> None:
+    script.other = script.run(connect_to(script, name))
+
+
+async def post_line(script: Script, caller: WorldCaller) -> None:
+    answer = await caller.post("/lines", b"17", idempotency_key=script.key)
+    script.line_answers.append(answer)
+
+
+@when(parsers.re(r"the line is posted on the (?P<which>other )?connection$"))
+def _(script: Script, which: str | None) -> None:
+    script.run(post_line(script, script.other if which else script.connection))
+
+
+@when("the line is posted on both connections at once")
+def _(script: Script) -> None:
+    async def post_both() -> None:
+        callers = (script.connection, script.other)
+        await asyncio.gather(*(post_line(script, caller) for caller in callers))
+
+    script.run(post_both())
+
+
+@when(parsers.parse("the line is posted on a new connection to {name}"))
+def _(script: Script, name: str) -> None:
+    script.run(post_line(script, script.run(script.world.connect(name))))
+
+
+@when("the line is posted on the connection and the target dies in its run")
+def _(script: Script) -> None:
+    async def post() -> None:
+        script.connection.send("POST", "/lines", b"17", idempotency_key=script.key)
+        target = script.world.targets["khata-core-1"]
+        await until(lambda: target.runs[LINE_RUN])
+        script.world.kill("khata-core-1")
+        script.world.change("khata-core-1", state=MemberState.DOWN)
+
+    script.run(post())
+
+
+@when(parsers.parse("target {name} is parted from its peers"))
+def _(script: Script, name: str) -> None:
+    for peers in script.world.peers.values():
+        peers.lost.add(name)
+
+
+@then("both answers are the same")
+def _(script: Script) -> None:
+    first, second = script.line_answers
+    assert first == second
+    assert first[0] == 200
+
+
+@then("the last answer says that the outcome is unknown")
+def _(script: Script) -> None:
+    assert script.line_answers[-1][0] in (502, 504)
+
+
+@then(parsers.parse("the line ran {count:d} time"))
+def _(script: Script, count: int) -> None:
+    targets = script.world.targets.values()
+    assert sum(target.runs[LINE_RUN] for target in targets) == count
--- a/tests/world.py
+++ b/tests/world.py
@@ -38,6 +38,7 @@
 KEYS = KeyRing({1: bytes(range(32))})
 FEED_INTERVAL_S = 30.0
 ONE_WAY_TO_CALLER_S = 0.001
+WITHIN_ZONE_S = 0.0002
 
 
 @dataclass(slots=True)
@@ -58,6 +59,7 @@
     held: dict[str, list[Callable[[], None]]] = field(
         default_factory=lambda: defaultdict(list)
     )
+    cut_zones: set[str] = field(default_factory=set)
 
     def send(self, to: str, delay_s: float, deliver: Callable[[], None]) -> None:
         """Deliver to a process after a delay, unless the datagram is lost."""
@@ -70,7 +72,7 @@
         """Resume a frozen process; its socket buffer is read first."""
         self.frozen.discard(name)
         for deliver in self.held.pop(name, []):
-            deliver()
+            self._arrive(name, deliver)
 
     def _arrive(self, to: str, deliver: Callable[[], None]) -> None:
         if to in self.dead:
@@ -137,7 +139,7 @@
             lambda: self.members.of_service(service.name),
             member.node_id,
             member.zone,
-            peers,
+            peers.link(member),
             world.clock,
             Random(member.node_id),
         )
@@ -322,6 +324,8 @@
 
     def kill(self, name: str) -> None:
         self.network.dead.add(name)
+        for peers in self.peers.values():
+            peers.lost.add(name)
         self.sprayed_to = [n for n in self.sprayed_to if n != name]
 
     async def stop_entry(self, name: str) -> None:
@@ -358,10 +362,13 @@
         self._between(entry, address, datagram, (source.ip, source.port))
 
     def from_target(self, target: Member, address: Address, datagram: bytes) -> None:
-        for name, entry in self.entries.items():
+        for entry in self.entries.values():
             if entry.member.forward_address == address:
-                delay = self._delay(target.zone, entry.member.zone)
-                self.network.send(name, delay, lambda e=entry: e.from_target(datagram))
+                self._send_between(
+                    target.zone,
+                    entry.member,
+                    lambda e=entry: e.from_target(datagram),
+                )
                 return
         source = target.forward_address
         self._between(target, address, datagram, (source.ip, source.port))
@@ -370,18 +377,23 @@
         self, sender: Member, address: Address, datagram: bytes, source: tuple
     ) -> None:
         # The newest target with this address has it now.
-        for name, target in reversed(self.targets.items()):
+        for target in reversed(self.targets.values()):
             if target.member.forward_address == address:
-                delay = self._delay(sender.zone, target.member.zone)
-                self.network.send(
-                    name,
-                    delay,
+                self._send_between(
+                    sender.zone,
+                    target.member,
                     lambda t=target: t.sidecar.datagram_received(datagram, source),
                 )
                 return
 
-    def _delay(self, one: str, other: str) -> float:
-        return 0.0002 if one == other else self.network.between_zones_s
+    def _send_between(
+        self, zone: str, receiver: Member, deliver: Callable[[], None]
+    ) -> None:
+        if zone == receiver.zone:
+            self.network.send(receiver.node_id, WITHIN_ZONE_S, deliver)
+        elif not self.network.cut_zones & {zone, receiver.zone}:
+            delay_s = self.network.between_zones_s
+            self.network.send(receiver.node_id, delay_s, deliver)
 
     # Callers.
 
