Measure new flows and requests through the whole path

Cause: the benchmark covered the entry instance alone with packets of open flows. Nothing showed how many new flows a second the system opens, which process limits them, or what the path adds to a request.

Change: `make bench` also prints first packets a second of one entry instance, new flows a second with the use of the processor by each process, and requests through the path against direct HTTP/1.1 calls to the same upstream. The demo's site takes the number of its parts.

--- a/tools/bench.py
+++ b/tools/bench.py
@@ -6,6 +6,7 @@
 """
 
 import argparse
+import asyncio
 import statistics
 import subprocess
 import sys
@@ -18,7 +19,8 @@
 from cranberryhold.placement import MaglevTable
 from cranberryhold.routing import Router
 from cranberryhold.targets import TargetTables
-from tools.bench_parts import KEYS, SERVICE, flow_packet
+from tools.bench_parts import KEYS, SERVICE, first_packet, flow_packet
+from tools.bench_requests import print_tables
 from tools.tables import Table
 
 TARGET_RATIO = 0.7
@@ -127,10 +129,7 @@
     router, service = Router(KEYS, tables), tables[SERVICE]
     own = addresses[::services]
     flows = [flow_packet(own[n % len(own)], n) for n in range(count)]
-    firsts = [
-        (b"\xc0\x00\x00\x00\x01\x08" + n.to_bytes(8, "big")).ljust(1200, b"\0")
-        for n in range(count)
-    ]
+    firsts = [first_packet(n) for n in range(count)]
 
     def route_all(packets: list[bytes]) -> None:
         for packet in packets:
@@ -174,7 +173,8 @@
     print(table, end="\n\n")
     ratios = [row[4] for row in table.rows]
     met = min(ratios) >= TARGET_RATIO
-    print(f"entry/plain at least {TARGET_RATIO}: {'yes' if met else 'no'}")
+    print(f"entry/plain at least {TARGET_RATIO}: {'yes' if met else 'no'}", end="\n\n")
+    asyncio.run(print_tables())
     sys.exit(0 if met else 1)
 
 
--- a/tools/bench_parts.py
+++ b/tools/bench_parts.py
@@ -17,7 +17,7 @@
 from cranberryhold.keys import KeyRing
 from cranberryhold.manifest import AcceptedManifest, Manifest, Service, service_id
 from cranberryhold.members import Member, MemberTable, Role
-from cranberryhold.packets import Direction, ForwardCodec
+from cranberryhold.packets import MINIMUM_INITIAL_BYTES, Direction, ForwardCodec
 from cranberryhold.settings import EntrySettings, NodeSettings
 
 SERVICE = "core"
@@ -130,6 +130,21 @@
         send(packet, address)
 
 
+def first_packet(number: int) -> bytes:
+    """Return an Initial packet of 1,200 bytes whose connection id has this number."""
+    connection_id = number.to_bytes(8, "big")
+    header = b"\xc0\x00\x00\x00\x01\x08" + connection_id
+    return header.ljust(MINIMUM_INITIAL_BYTES, b"\0")
+
+
+def run_first_source(to: Address) -> None:
+    """Send distinct first packets as fast as possible, from many sockets."""
+    address = (to.ip, to.port)
+    sends = [bound_socket(Address("127.0.0.1", 0)).sendto for _ in range(CALLERS)]
+    for number, send in enumerate(cycle(sends)):
+        send(first_packet(number), address)
+
+
 def run_sink(port: int, seconds: float) -> None:
     """Count packets for ``seconds`` after the warm-up; print packets a second."""
     receive = bound_socket(Address("0.0.0.0", port)).recv_into
@@ -163,7 +178,9 @@
     parser.add_argument("--to", type=Address.parse)
     parser.add_argument("--port", type=int, default=0, help="port of the sink")
     parser.add_argument("--seconds", type=float, default=3.0)
-    parser.add_argument("--direction", choices=("request", "reply"), default="request")
+    parser.add_argument(
+        "--direction", choices=("request", "reply", "first"), default="request"
+    )
     options = parser.parse_args()
     match options.part:
         case "entry":
@@ -173,6 +190,8 @@
             asyncio.run(run_plain(options.listen, options.to))
         case "batched":
             asyncio.run(run_batched(options.listen, options.to))
+        case "source" if options.direction == "first":
+            run_first_source(options.to)
         case "source":
             run_source(options.direction, options.to, options.port, options.port)
         case "sink":
--- a/tools/demo_site.py
+++ b/tools/demo_site.py
@@ -136,8 +136,17 @@
 
 
 @asynccontextmanager
-async def running_site() -> AsyncIterator[Site]:
-    """Run three entry instances, three targets of one service and one of another."""
+async def running_site(
+    entry_ips: tuple[str, ...] = ENTRY_IPS,
+    core: tuple[str, ...] = ("t1", "t2", "t3"),
+    intake: tuple[str, ...] = ("b1",),
+) -> AsyncIterator[Site]:
+    """Run entry instances and the targets of two services.
+
+    :param entry_ips: IP number of each entry instance.
+    :param core: names of the targets of the first service.
+    :param intake: names of the targets of the second service.
+    """
     addresses = free_addresses(2)
     (platform,) = free_addresses(1)
     with tempfile.TemporaryDirectory() as name:
@@ -154,26 +163,26 @@
                 "platform", "emulator.platform", "--listen", str(platform)
             )
             await store.printed("listening")
-            await _start_fabric(site)
-            await _start_entries(site)
+            await _start_fabric(site, entry_ips)
+            await _start_entries(site, entry_ips)
             await asyncio.gather(
-                *(_start_target(site, n, CORE) for n in ("t1", "t2", "t3")),
-                _start_target(site, "b1", INTAKE),
+                *(_start_target(site, n, CORE) for n in core),
+                *(_start_target(site, n, INTAKE) for n in intake),
             )
             yield site
 
 
-async def _start_fabric(site: Site) -> None:
+async def _start_fabric(site: Site, entry_ips: tuple[str, ...]) -> None:
     services = [f"--service={a}" for a in site.services.values()]
-    entries = [f"--entry={ip}" for ip in ENTRY_IPS]
+    entries = [f"--entry={ip}" for ip in entry_ips]
     site.fabric = await site.started.start(
         "fabric", "emulator.fabric", *services, *entries
     )
     await site.fabric.printed("event=ready")
 
 
-async def _start_entries(site: Site) -> None:
-    for number, ip in enumerate(ENTRY_IPS):
+async def _start_entries(site: Site, entry_ips: tuple[str, ...]) -> None:
+    for number, ip in enumerate(entry_ips):
         name = f"e{number + 1}"
         control, forward = free_addresses(2)
         site.controls[name] = control
