End requests at once when the process ends

Cause: a cancelled request swallowed the cancellation and waited for the caller's acknowledgement, so that a process whose caller was gone did not end; closing a connection scanned the ids of all connections. Change: only requests that the caller abandoned swallow it, and each connection knows its own ids.

--- a/src/cranberryhold/gateway.py
+++ b/src/cranberryhold/gateway.py
@@ -14,9 +14,9 @@
     StopSendingReceived,
     StreamReset,
 )
-from loguru import logger
 
 from cranberryhold.exchange import Handler, Headers, Outcome, Request, Response, refusal
+from cranberryhold.logs import log_event
 from cranberryhold.quic import (
     MAX_VARINT_STREAM_ID,
     is_acknowledged,
@@ -44,6 +44,7 @@
     chunks: asyncio.Queue[bytes | None] = field(default_factory=asyncio.Queue)
     task: asyncio.Task[None] | None = None
     answered: bool = False
+    abandoned: bool = False
     received_all: bool = False
 
     async def body(self) -> AsyncIterator[bytes]:
@@ -147,6 +148,8 @@
     def quic_event_received(self, event: QuicEvent) -> None:
         """Queue an event for the connection's task."""
         self._events.put_nowait(event)
+        if isinstance(event, ConnectionTerminated):
+            self._progress.set()
 
     def _goaway(self, stream_id: int) -> None:
         send_goaway(self._h3, self._quic, stream_id)
@@ -161,7 +164,6 @@
                 self._abandon(event.stream_id)
             for h3_event in self._h3.handle_event(event):
                 self._take(h3_event)
-        self._progress.set()
         for stream_id in list(self._streams):
             self._abandon(stream_id)
 
@@ -194,6 +196,7 @@
     def _abandon(self, stream_id: int) -> None:
         stream = self._streams.get(stream_id)
         if stream is not None and stream.task is not None:
+            stream.abandoned = True
             stream.task.cancel()
 
     async def _serve_request(
@@ -202,13 +205,17 @@
         try:
             async with self._handler(_request(raw_headers, stream)) as response:
                 await self._send(stream, response)
-        except (asyncio.CancelledError, RequestAbandonedError):
+            await self._wait_acknowledged(stream.stream_id)
+        except asyncio.CancelledError:
+            self._reset(stream, ErrorCode.H3_REQUEST_CANCELLED)
+            if not stream.abandoned:
+                raise  # The process is ending; waiting here would hold it up.
+        except RequestAbandonedError:
             self._reset(stream, ErrorCode.H3_REQUEST_CANCELLED)
-        except Exception:
-            logger.opt(exception=True).error("request_failed peer={}", self.peer)
+        except Exception as error:
+            log_event("request-failed", level="ERROR", peer=self.peer, error=error)
             await self._fail(stream)
         finally:
-            await self._wait_acknowledged(stream.stream_id)
             self._streams.pop(stream.stream_id, None)
             if not self._streams:
                 self._on_idle(self)
@@ -220,6 +227,7 @@
             await self._send(
                 stream, refusal(500, Outcome.UNKNOWN, "internal error of the sidecar")
             )
+            await self._wait_acknowledged(stream.stream_id)
 
     async def _send(self, stream: _Stream, response: Response) -> None:
         headers = [(b":status", str(response.status).encode())]
--- a/src/cranberryhold/quic.py
+++ b/src/cranberryhold/quic.py
@@ -105,7 +105,7 @@
         self._transport = _SendOnlyTransport(send)
         self._create_protocol = create_protocol
         self._by_id: dict[bytes, QuicConnectionProtocol] = {}
-        self._connections: set[QuicConnectionProtocol] = set()
+        self._connections: dict[QuicConnectionProtocol, set[bytes]] = {}
         self._serial = int.from_bytes(os.urandom(2), "big")
         self.accepts_new = True
 
@@ -164,11 +164,11 @@
         protocol = self._create_protocol(connection)
         protocol.connection_made(self._transport)
         protocol._connection_id_issued_handler = partial(self._add_id, protocol)
-        protocol._connection_id_retired_handler = self._remove_id
+        protocol._connection_id_retired_handler = partial(self._remove_id, protocol)
         protocol._connection_terminated_handler = partial(self._remove, protocol)
-        self._connections.add(protocol)
-        self._by_id[header.destination_cid] = protocol
-        self._by_id[connection.host_cid] = protocol
+        self._connections[protocol] = set()
+        self._add_id(protocol, header.destination_cid)
+        self._add_id(protocol, connection.host_cid)
         return protocol
 
     def _issue(self) -> bytes:
@@ -180,14 +180,17 @@
 
     def _add_id(self, protocol: QuicConnectionProtocol, connection_id: bytes) -> None:
         self._by_id[connection_id] = protocol
+        self._connections[protocol].add(connection_id)
 
-    def _remove_id(self, connection_id: bytes) -> None:
+    def _remove_id(
+        self, protocol: QuicConnectionProtocol, connection_id: bytes
+    ) -> None:
         self._by_id.pop(connection_id, None)
+        self._connections[protocol].discard(connection_id)
 
     def _remove(self, protocol: QuicConnectionProtocol) -> None:
-        self._connections.discard(protocol)
-        for connection_id in [i for i, p in self._by_id.items() if p is protocol]:
-            del self._by_id[connection_id]
+        for connection_id in self._connections.pop(protocol, ()):
+            self._by_id.pop(connection_id, None)
         self._on_closed()
 
 
--- a/src/cranberryhold/sidecar.py
+++ b/src/cranberryhold/sidecar.py
@@ -130,6 +130,8 @@
             yield self
         finally:
             self._server.close()
+            # Connections may still have timers that would send.
+            self._transport = None
             transport.close()
 
     async def drain(self, grace_s: float, limit_s: float) -> int:
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -3,6 +3,7 @@
 import asyncio
 import os
 import socket
+from contextlib import ExitStack
 from ipaddress import IPv4Address
 
 from cranberryhold.addresses import Address
@@ -40,3 +41,9 @@
     """Return a UDP port of LOCAL that was free just now."""
     with Peer() as peer:
         return peer.address.port
+
+
+def free_ports(count: int) -> list[int]:
+    """Return different UDP ports of LOCAL that were free just now."""
+    with ExitStack() as stack:
+        return [stack.enter_context(Peer()).address.port for _ in range(count)]
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -17,7 +17,7 @@
 from cranberryhold.routing import Drop
 from cranberryhold.settings import EntrySettings, NodeSettings
 from tests.routes import RING, accepted, initial, short, target
-from tests.sockets import LOCAL, Peer, free_port
+from tests.sockets import LOCAL, Peer, free_port, free_ports
 from tests.waiting import until
 
 CORE = "10.9.8.7"
@@ -86,7 +86,7 @@
 ) -> None:
     """A manifest that takes an address away must not end the flows that use it."""
     caller, upstream = peers
-    kept, gone = Address(LOCAL, free_port()), Address(LOCAL, free_port())
+    kept, gone = (Address(LOCAL, port) for port in free_ports(2))
     ref = TargetRef(upstream.address, service_id("core"), 1)
     packet = short(ConnectionIdCodec(RING).encode(ref, 1))
     members = MemberTable()
--- a/tests/test_quic.py
+++ b/tests/test_quic.py
@@ -60,6 +60,16 @@
     yield Response(200, (), bytes_body(request.path.encode() + b" " + body))
 
 
+@asynccontextmanager
+async def endless(request: Request) -> AsyncIterator[Response]:
+    async def lines() -> AsyncIterator[bytes]:
+        while True:
+            yield b"line\n"
+            await asyncio.sleep(0.01)
+
+    yield Response(200, (), lines())
+
+
 @pytest.fixture
 async def path_to_sidecar(certificate: tuple[str, str]) -> AsyncIterator[Callable]:
     """Yield a function that opens a stock client through a forwarder."""
@@ -149,6 +159,24 @@
         assert await drain == 0
 
 
+async def test_ending_the_process_does_not_wait_for_acknowledgements(
+    path_to_sidecar: tuple,
+) -> None:
+    """Guards against a shutdown that hangs on a caller that is gone."""
+    open_client, _, sidecar, _ = path_to_sidecar
+    async with open_client() as client:
+        sidecar._handler = endless
+        client.send("GET", "/feed")
+        await until(lambda: client.parts)
+        (gateway,) = sidecar._gateways
+        (stream,) = gateway._streams.values()
+        sidecar._transport = None
+        stream.task.cancel()
+        gateway._task.cancel()
+        with pytest.raises(asyncio.CancelledError):
+            await asyncio.wait_for(stream.task, LIMIT_S)
+
+
 async def test_requests_after_a_goaway_are_rejected_as_not_run(
     path_to_sidecar: tuple,
 ) -> None:
