--- a/src/cranberryhold/gateway.py
+++ b/src/cranberryhold/gateway.py
@@ -233,17 +233,19 @@
         headers = [(b":status", str(response.status).encode())]
         headers += [(k.encode(), v.encode("latin-1")) for k, v in response.headers]
         stream.answered = True
+        # Sent with the next step of the event loop, so that a short answer goes out
+        # in one datagram.
         self._h3.send_headers(stream.stream_id, headers)
-        self.transmit()
+        self._transmit_soon()
         async for chunk in response.body:
             await self._wait_for_room(stream.stream_id)
             self._h3.send_data(stream.stream_id, chunk, end_stream=False)
-            self.transmit()
+            self._transmit_soon()
         self._h3.send_data(stream.stream_id, b"", end_stream=True)
         if not stream.received_all:
             # The answer came before the whole request; RFC 9114, section 4.1.
             self._quic.stop_stream(stream.stream_id, ErrorCode.H3_NO_ERROR)
-        self.transmit()
+        self._transmit_soon()
 
     async def _wait_for_room(self, stream_id: int) -> None:
         while unsent_bytes(self._quic, stream_id) > SEND_BUFFER_BYTES:
