Share the CURVE set-up of control calls and passed requests

Cause: key pairs, admission, binding and the handshake stood twice. Change: one module, curve, serves both.

--- a/src/cranberryhold/control.py
+++ b/src/cranberryhold/control.py
@@ -1,24 +1,27 @@
-"""Calls between members over zmq: ROUTER and DEALER sockets with CURVE.
+"""Calls between members over zmq ROUTER and DEALER sockets with CURVE.
 
-All members of a deployment share one CURVE key pair per key of the ring, so only
-holders of the ring can connect. A server listens with the issuing key; a client
-tries its keys in order, which covers the rotation of a key.
+A server admits holders of the key pair that it listens with; see
+:mod:`cranberryhold.curve`.
 """
 
 import asyncio
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager, suppress
-from dataclasses import dataclass, field
 
 import zmq
 import zmq.asyncio
 from loguru import logger
 from msgspec import Struct
-from zmq.auth.asyncio import AsyncioAuthenticator
-from zmq.utils.monitor import parse_monitor_message
-from zmq.utils.z85 import encode as z85_encode
 
 from cranberryhold.addresses import Address
+from cranberryhold.curve import (
+    CurvePair,
+    admitting,
+    bind_server,
+    connect_client,
+    curve_pair,
+    curve_pairs,
+)
 from cranberryhold.duties import Errands
 from cranberryhold.exceptions import CranberryholdError, PeerError
 from cranberryhold.keys import KeyRing
@@ -35,40 +38,8 @@
 CALLS_IN_PROGRESS = 512
 """Calls that a server works on at once; more wait in the socket's queue."""
 
-_LABEL = b"curve"
 _DOMAIN = "cranberryhold"
 _HANDSHAKE_S = 2.0
-_FAILED_EVENTS = (
-    zmq.EVENT_HANDSHAKE_FAILED_NO_DETAIL,
-    zmq.EVENT_HANDSHAKE_FAILED_PROTOCOL,
-    zmq.EVENT_HANDSHAKE_FAILED_AUTH,
-    zmq.EVENT_DISCONNECTED,
-    zmq.EVENT_CLOSED,
-)
-
-
-@dataclass(frozen=True, slots=True)
-class CurvePair:
-    """CURVE key pair in the Z85 form that zmq takes."""
-
-    public: bytes
-    secret: bytes = field(repr=False)
-
-
-def curve_pair(keys: KeyRing, key_id: int) -> CurvePair:
-    """Derive the deployment's CURVE key pair from a key of the ring."""
-    secret = z85_encode(keys.derive(_LABEL, key_id, 32))
-    return CurvePair(zmq.curve_public(secret), secret)
-
-
-class _Admitted:
-    """Credentials provider that accepts the deployment's key pair alone."""
-
-    def __init__(self, pair: CurvePair) -> None:
-        self._public = pair.public
-
-    def callback(self, domain: str, key: bytes) -> bool:
-        return key == self._public
 
 
 class ControlServer:
@@ -113,37 +84,23 @@
         :raises PeerError: if the address can't be bound.
         """
         context = zmq.asyncio.Context()
-        authenticator = AsyncioAuthenticator(context)
-        authenticator.start()
+        pair = curve_pair(self._keys, self._keys.issuing_id)
         socket = context.socket(zmq.ROUTER)
+        _limit(socket)
         try:
-            pair = curve_pair(self._keys, self._keys.issuing_id)
-            authenticator.configure_curve_callback(_DOMAIN, _Admitted(pair))
-            self._bind(socket, pair)
-            self._answers.start(self._serve(socket))
-            yield self
+            with admitting(context, _DOMAIN, [pair]):
+                try:
+                    self._address = bind_server(
+                        socket, pair, _DOMAIN, self._address, step="bind control server"
+                    )
+                    self._answers.start(self._serve(socket))
+                    yield self
+                finally:
+                    await self._answers.cancel()
+                    socket.close(linger=200)
         finally:
-            await self._answers.cancel()
-            socket.close(linger=200)
-            authenticator.stop()
             context.destroy(linger=200)
 
-    def _bind(self, socket: zmq.asyncio.Socket, pair: CurvePair) -> None:
-        socket.curve_server = True
-        socket.curve_publickey, socket.curve_secretkey = pair.public, pair.secret
-        socket.zap_domain = _DOMAIN.encode()
-        _limit(socket)
-        try:
-            socket.bind(f"tcp://{self._address.ip}:{self._address.port or '*'}")
-        except zmq.ZMQError as error:
-            raise PeerError(
-                f"cannot bind TCP: {error.strerror}; is the port in use?",
-                step="bind control server",
-                peer=str(self._address),
-            ) from error
-        endpoint = socket.last_endpoint.decode().removeprefix("tcp://")
-        self._address = Address.parse(endpoint)
-
     async def _serve(self, socket: zmq.asyncio.Socket) -> None:
         while True:
             await self._slots.acquire()
@@ -224,7 +181,7 @@
     """
 
     def __init__(self, keys: KeyRing, *, idle_s: float = IDLE_S) -> None:
-        self._pairs = [curve_pair(keys, i) for i in keys.key_ids]
+        self._pairs = curve_pairs(keys)
         self._idle_s = idle_s
         self._context = zmq.asyncio.Context()
         self._connections: dict[Address, _Connection] = {}
@@ -287,11 +244,9 @@
     async def _connect(self, address: Address) -> zmq.asyncio.Socket:
         for pair in self._pairs:
             socket = self._context.socket(zmq.DEALER)
-            socket.curve_publickey, socket.curve_secretkey = pair.public, pair.secret
-            socket.curve_serverkey = pair.public
             _limit(socket)
             try:
-                if await self._handshake(socket, address):
+                if await self._handshake(socket, pair, address):
                     return socket
             except BaseException:
                 socket.close(linger=0)
@@ -303,20 +258,12 @@
             peer=str(address),
         )
 
-    async def _handshake(self, socket: zmq.asyncio.Socket, address: Address) -> bool:
+    async def _handshake(
+        self, socket: zmq.asyncio.Socket, pair: CurvePair, address: Address
+    ) -> bool:
         monitor = socket.get_monitor_socket()
         try:
-            socket.connect(f"tcp://{address}")
-            async with asyncio.timeout(_HANDSHAKE_S):
-                while True:
-                    frames = await monitor.recv_multipart()
-                    event = parse_monitor_message(frames)["event"]
-                    if event == zmq.EVENT_HANDSHAKE_SUCCEEDED:
-                        return True
-                    if event in _FAILED_EVENTS:
-                        return False
-        except TimeoutError:
-            return False
+            return await connect_client(socket, monitor, pair, address, _HANDSHAKE_S)
         finally:
             socket.disable_monitor()
 
--- /dev/null
+++ b/src/cranberryhold/curve.py
@@ -0,0 +1,128 @@
+"""CURVE on zmq sockets: what control calls and passed requests share.
+
+All members of a deployment share one CURVE key pair per key of the ring, so only
+holders of the ring can connect. A server listens with the issuing key; a client
+tries its keys in order, which covers the rotation of a key.
+"""
+
+import asyncio
+from collections.abc import Iterable, Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+
+import zmq
+import zmq.asyncio
+from zmq.auth.asyncio import AsyncioAuthenticator
+from zmq.utils.monitor import parse_monitor_message
+from zmq.utils.z85 import encode as z85_encode
+
+from cranberryhold.addresses import Address
+from cranberryhold.exceptions import PeerError
+from cranberryhold.keys import KeyRing
+
+_LABEL = b"curve"
+_FAILED_EVENTS = (
+    zmq.EVENT_HANDSHAKE_FAILED_NO_DETAIL,
+    zmq.EVENT_HANDSHAKE_FAILED_PROTOCOL,
+    zmq.EVENT_HANDSHAKE_FAILED_AUTH,
+    zmq.EVENT_DISCONNECTED,
+    zmq.EVENT_CLOSED,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class CurvePair:
+    """CURVE key pair in the Z85 form that zmq takes."""
+
+    public: bytes
+    secret: bytes = field(repr=False)
+
+
+def curve_pair(keys: KeyRing, key_id: int) -> CurvePair:
+    """Derive the deployment's CURVE key pair from a key of the ring."""
+    secret = z85_encode(keys.derive(_LABEL, key_id, 32))
+    return CurvePair(zmq.curve_public(secret), secret)
+
+
+def curve_pairs(keys: KeyRing) -> list[CurvePair]:
+    """Return the key pairs of all keys of the ring, the issuing one first."""
+    return [curve_pair(keys, key_id) for key_id in keys.key_ids]
+
+
+class _Admitted:
+    """Credentials provider that accepts some key pairs alone."""
+
+    def __init__(self, pairs: Iterable[CurvePair]) -> None:
+        self._public = {pair.public for pair in pairs}
+
+    def callback(self, domain: str, key: bytes) -> bool:
+        return key in self._public
+
+
+@contextmanager
+def admitting(
+    context: zmq.asyncio.Context, domain: str, pairs: Iterable[CurvePair]
+) -> Iterator[None]:
+    """Admit holders of these key pairs alone to the servers of a domain."""
+    authenticator = AsyncioAuthenticator(context)
+    authenticator.start()
+    try:
+        authenticator.configure_curve_callback(domain, _Admitted(pairs))
+        yield
+    finally:
+        authenticator.stop()
+
+
+def bind_server(
+    socket: zmq.asyncio.Socket,
+    pair: CurvePair,
+    domain: str,
+    address: Address,
+    *,
+    step: str,
+) -> Address:
+    """Make a socket a CURVE server and bind it; return the address that it got.
+
+    :param address: where to listen; port 0 lets the operating system choose.
+    :raises PeerError: if the address can't be bound.
+    """
+    socket.curve_server = True
+    socket.curve_publickey, socket.curve_secretkey = pair.public, pair.secret
+    socket.zap_domain = domain.encode()
+    try:
+        socket.bind(f"tcp://{address.ip}:{address.port or '*'}")
+    except zmq.ZMQError as error:
+        raise PeerError(
+            f"cannot bind TCP: {error.strerror}; is the port in use?",
+            step=step,
+            peer=str(address),
+        ) from error
+    return Address.parse(socket.last_endpoint.decode().removeprefix("tcp://"))
+
+
+async def connect_client(
+    socket: zmq.asyncio.Socket,
+    monitor: zmq.asyncio.Socket,
+    pair: CurvePair,
+    address: Address,
+    timeout_s: float,
+) -> bool:
+    """Connect a socket with a key pair; return whether the server admitted it.
+
+    :param monitor: the socket's monitor.
+    :param timeout_s: seconds for the handshake.
+    """
+    socket.curve_publickey, socket.curve_secretkey = pair.public, pair.secret
+    socket.curve_serverkey = pair.public
+    try:
+        async with asyncio.timeout(timeout_s):
+            socket.connect(f"tcp://{address}")
+            while True:
+                frames = await monitor.recv_multipart()
+                event = parse_monitor_message(frames)["event"]
+                if event == zmq.EVENT_HANDSHAKE_SUCCEEDED:
+                    return True
+                if event in _FAILED_EVENTS:
+                    return False
+    except TimeoutError:
+        return False
--- a/src/cranberryhold/passing.py
+++ b/src/cranberryhold/passing.py
@@ -13,14 +13,19 @@
 import zmq.asyncio
 from loguru import logger
 from msgspec import DecodeError
-from zmq.auth.asyncio import AsyncioAuthenticator
 from zmq.utils.monitor import parse_monitor_message
 
 from cranberryhold.addresses import Address
 from cranberryhold.admission import Load
 from cranberryhold.bodies import seconds_left
 from cranberryhold.clock import Clock
-from cranberryhold.control import curve_pair
+from cranberryhold.curve import (
+    admitting,
+    bind_server,
+    connect_client,
+    curve_pair,
+    curve_pairs,
+)
 from cranberryhold.exceptions import (
     CranberryholdError,
     OutcomeUnknownError,
@@ -59,16 +64,6 @@
     return Address(control_address.ip, control_address.port + 1)
 
 
-class _Admitted:
-    """Credentials provider that accepts the key pairs of the ring alone."""
-
-    def __init__(self, keys: KeyRing) -> None:
-        self._public = {curve_pair(keys, i).public for i in keys.key_ids}
-
-    def callback(self, domain: str, key: bytes) -> bool:
-        return key in self._public
-
-
 class PassingServer:
     """Takes asks and requests from peers and hands them to the pipeline.
 
@@ -103,44 +98,31 @@
         :raises PeerError: if the address can't be bound.
         """
         context = zmq.asyncio.Context()
-        authenticator = AsyncioAuthenticator(context)
-        authenticator.start()
         tasks: list[asyncio.Task[None]] = []
         try:
-            authenticator.configure_curve_callback(_DOMAIN, _Admitted(self._keys))
-            self._socket = self._bind(context)
-            tasks = [
-                asyncio.create_task(self._serve(), name="passing-server"),
-                asyncio.create_task(self._sweep(), name="passing-sweep"),
-            ]
-            yield self
+            with admitting(context, _DOMAIN, curve_pairs(self._keys)):
+                self._socket = self._bind(context)
+                tasks = [
+                    asyncio.create_task(self._serve(), name="passing-server"),
+                    asyncio.create_task(self._sweep(), name="passing-sweep"),
+                ]
+                yield self
         finally:
             for task in [*tasks, *self._tasks.values()]:
                 task.cancel()
-            authenticator.stop()
             context.destroy(linger=200)
 
     def _bind(self, context: zmq.asyncio.Context) -> zmq.asyncio.Socket:
         socket = context.socket(zmq.ROUTER)
-        pair = curve_pair(self._keys, self._keys.issuing_id)
-        socket.curve_server = True
-        socket.curve_publickey, socket.curve_secretkey = pair.public, pair.secret
-        socket.zap_domain = _DOMAIN.encode()
         # A ROUTER drops what exceeds its mark, which would cut a body; credit is
         # what bounds its queues.
         socket.set_hwm(0)
         socket.router_mandatory = True
         _set_heartbeat(socket)
-        try:
-            socket.bind(f"tcp://{self._address.ip}:{self._address.port or '*'}")
-        except zmq.ZMQError as error:
-            raise PeerError(
-                f"cannot bind TCP: {error.strerror}; is the port in use?",
-                step="bind passing server",
-                peer=str(self._address),
-            ) from error
-        endpoint = socket.last_endpoint.decode().removeprefix("tcp://")
-        self._address = Address.parse(endpoint)
+        pair = curve_pair(self._keys, self._keys.issuing_id)
+        self._address = bind_server(
+            socket, pair, _DOMAIN, self._address, step="bind passing server"
+        )
         return socket
 
     async def _serve(self) -> None:
@@ -331,7 +313,7 @@
     """
 
     def __init__(self, keys: KeyRing, clock: Clock) -> None:
-        self._pairs = [curve_pair(keys, i) for i in keys.key_ids]
+        self._pairs = curve_pairs(keys)
         self._clock = clock
         self._context = zmq.asyncio.Context()
         self._opening: dict[Address, asyncio.Task[_Connection]] = {}
@@ -413,14 +395,12 @@
     async def _open(self, address: Address) -> _Connection:
         for pair in self._pairs:
             socket = self._context.socket(zmq.DEALER)
-            socket.curve_publickey, socket.curve_secretkey = pair.public, pair.secret
-            socket.curve_serverkey = pair.public
             socket.set_hwm(0)
             socket.reconnect_ivl = -1
             _set_heartbeat(socket)
             monitor = socket.get_monitor_socket()
             try:
-                if await _handshake(socket, monitor, address):
+                if await connect_client(socket, monitor, pair, address, _HANDSHAKE_S):
                     return _Connection(socket, monitor, str(address))
             except BaseException:
                 _close(socket, monitor)
@@ -440,27 +420,6 @@
         channel.deliver(error)
 
 
-async def _handshake(socket: zmq.asyncio.Socket, monitor, address: Address) -> bool:
-    failed = (
-        zmq.EVENT_HANDSHAKE_FAILED_NO_DETAIL,
-        zmq.EVENT_HANDSHAKE_FAILED_PROTOCOL,
-        zmq.EVENT_HANDSHAKE_FAILED_AUTH,
-        zmq.EVENT_DISCONNECTED,
-        zmq.EVENT_CLOSED,
-    )
-    socket.connect(f"tcp://{address}")
-    with suppress(TimeoutError):
-        async with asyncio.timeout(_HANDSHAKE_S):
-            while True:
-                frames = await monitor.recv_multipart()
-                event = parse_monitor_message(frames)["event"]
-                if event == zmq.EVENT_HANDSHAKE_SUCCEEDED:
-                    return True
-                if event in failed:
-                    return False
-    return False
-
-
 def _close(socket: zmq.asyncio.Socket, monitor) -> None:
     socket.disable_monitor()
     monitor.close(linger=0)
--- a/tests/test_passing.py
+++ b/tests/test_passing.py
@@ -12,7 +12,7 @@
 from cranberryhold.addresses import Address
 from cranberryhold.clock import SystemClock
 from cranberryhold.connection_ids import TargetRef
-from cranberryhold.control import curve_pair
+from cranberryhold.curve import curve_pair
 from cranberryhold.exceptions import OutcomeUnknownError, PeerError
 from cranberryhold.exchange import KEY_PATH, Request, Response
 from cranberryhold.keys import KeyRing
