--- a/tests/test_quic.py
+++ b/tests/test_quic.py
@@ -164,8 +164,8 @@
 ) -> None:
     """Guards against a shutdown that hangs on a caller that is gone."""
     open_client, _, sidecar, _ = path_to_sidecar
+    sidecar._handler = endless
     async with open_client() as client:
-        sidecar._handler = endless
         client.send("GET", "/feed")
         await until(lambda: client.parts)
         (gateway,) = sidecar._gateways
