Count connections without copying them, and define the manifest's key once

Cause, found by reading the change again: each first packet and each load report copied the set of open connections to count it; each packet had its id read before it was known to be a first packet; the store key of the manifest stood twice, and ReturnPaths.is_entry was used nowhere. Change: the server has a length, the cheaper check goes first, one constant, the unused method is gone.

--- a/src/cranberryhold/apply.py
+++ b/src/cranberryhold/apply.py
@@ -14,6 +14,7 @@
     StoreOutcomeUnknownError,
 )
 from cranberryhold.manifest import (
+    MANIFEST_KEY,
     AcceptedManifest,
     Manifest,
     ReleasedAddress,
@@ -23,7 +24,6 @@
 )
 from cranberryhold.store import Store
 
-MANIFEST_KEY = "cranberryhold/manifest"
 # The store refuses values above 1 MB.
 MAX_DOCUMENT_BYTES = 1_000_000
 # The shortest time for which a released address is kept from other services: twenty
--- a/src/cranberryhold/distribution.py
+++ b/src/cranberryhold/distribution.py
@@ -29,7 +29,7 @@
 from cranberryhold.exceptions import ManifestError, PeerError, StoreError
 from cranberryhold.keys import KeyRing
 from cranberryhold.links import Calls, Link, UdpLink
-from cranberryhold.manifest import AcceptedManifest
+from cranberryhold.manifest import MANIFEST_KEY, AcceptedManifest
 from cranberryhold.members import Member, MemberChange, MemberTable, Role
 from cranberryhold.membership import Membership
 from cranberryhold.messages import (
@@ -44,8 +44,6 @@
 )
 from cranberryhold.store import Store
 
-MANIFEST_KEY = "cranberryhold/manifest"
-
 READERS_PER_ZONE = 2
 """Two, so that one may fail unnoticed; at 8 zones the store has 16 waiting watches."""
 
--- a/src/cranberryhold/manifest.py
+++ b/src/cranberryhold/manifest.py
@@ -12,6 +12,9 @@
 from cranberryhold.addresses import Address
 from cranberryhold.exceptions import AddressError
 
+MANIFEST_KEY = "cranberryhold/manifest"
+"""Key of the accepted manifest in the platform's key-value service."""
+
 _NAME = r"^[a-z][a-z0-9-]{0,62}$"
 
 
--- a/src/cranberryhold/quic.py
+++ b/src/cranberryhold/quic.py
@@ -114,6 +114,10 @@
         """The connections that are open."""
         return frozenset(self._connections)
 
+    def __len__(self) -> int:
+        """Return the number of open connections."""
+        return len(self._connections)
+
     def knows(self, connection_id: bytes | None) -> bool:
         """Whether an open connection uses this id."""
         return connection_id in self._by_id
--- a/src/cranberryhold/return_paths.py
+++ b/src/cranberryhold/return_paths.py
@@ -50,10 +50,6 @@
     def __len__(self) -> int:
         return len(self._paths)
 
-    def is_entry(self, address: Address) -> bool:
-        """Whether an address belongs to a known entry instance."""
-        return address in self._alive
-
     def saw(
         self, caller: tuple[str, int], entry: Address, service_address: bytes
     ) -> bool:
--- a/src/cranberryhold/sidecar.py
+++ b/src/cranberryhold/sidecar.py
@@ -94,7 +94,7 @@
     @property
     def connections(self) -> int:
         """Number of open connections."""
-        return len(self._server.connections)
+        return len(self._server)
 
     @property
     def running(self) -> int:
@@ -208,7 +208,7 @@
             gateway.close_if_idle()
 
     def _note_closed(self) -> None:
-        if not self._server.connections:
+        if not self._server:
             self._all_closed.set()
 
     def _close_idle(self) -> None:
@@ -234,8 +234,10 @@
 
     def _pass_on(self, datagram: bytes, packet: bytes, source: Address) -> bool:
         """Pass a first packet to a peer, or refuse it, if it is not for this target."""
+        if not is_first_packet(packet):
+            return False
         connection_id = read_connection_id(packet)
-        if not is_first_packet(packet) or self._server.knows(connection_id):
+        if self._server.knows(connection_id):
             return False
         # One that was passed on before came from a sidecar; it goes no further.
         passed_on = self._is_peer(source)
