--- a/src/cranberryhold/flows/announcement.py
+++ b/src/cranberryhold/flows/announcement.py
@@ -114,6 +114,16 @@
                 pause_s = LEASE_TTL_S / RENEWALS_PER_TTL
                 await asyncio.sleep(pause_s * self._random.uniform(0.8, 1.0))
 
+    async def withdraw(self) -> None:
+        """Drop the entry, so that nobody looks for this member any more."""
+        lease, self._lease = self._lease, None
+        if lease is None:
+            return
+        try:
+            await self._store.end_lease(lease)
+        except StoreError as error:
+            self._telemetry.event("entry-not-withdrawn", key=self._key, error=error)
+
     async def _hold(self) -> None:
         if self._lease is not None:
             await self._store.renew_lease(self._lease)
--- a/src/cranberryhold/flows/configuration.py
+++ b/src/cranberryhold/flows/configuration.py
@@ -101,28 +101,27 @@
             try:
                 revision = await self._step(revision)
             except StoreHistoryLostError:
-                self._telemetry.event("configuration-watch-lost", revision=revision)
+                self._telemetry.flow_event(
+                    "configuration-watch-lost", revision=revision
+                )
                 revision = None
+                await backoff.pause()
             except StoreError as error:
                 self._telemetry.flow_event("configuration-unread", error=error)
                 await backoff.pause()
             else:
                 backoff.reset()
 
-    async def _step(self, revision: int | None) -> int | None:
+    async def _step(self, revision: int | None) -> int:
         if revision is None:
-            item = await self._store.get(self._source.key)
-            if item is None:
-                await asyncio.sleep(LONGEST_PAUSE_S * self._random.uniform(0.5, 1))
-                return None
+            reading = await self._store.get(self._source.key)
         else:
-            item = await self._store.wait_for_change(
+            reading = await self._store.wait_for_change(
                 self._source.key, revision, WATCH_WAIT_S
             )
-        if item is None:
-            return revision
-        self._adopt_item(item)
-        return item.revision
+        if reading.item is not None:
+            self._adopt_item(reading.item)
+        return reading.store_revision
 
     def _adopt_item(self, item: StoredItem) -> None:
         self.adopt(item.value, source="store", revision=item.revision)
--- a/src/cranberryhold/flows/entry_daemon.py
+++ b/src/cranberryhold/flows/entry_daemon.py
@@ -29,8 +29,12 @@
 from cranberryhold.flows.telemetry import Telemetry
 from cranberryhold.flows.udp import UdpSocket, open_udp
 
-# The fabric stops sending after two missed probes, half a second apart.
-FORWARD_AFTER_STOP_S = 3.0
+# The fabric stops sending after two missed probes, half a second apart; the rest
+# covers packets on their way.
+FORWARD_AFTER_UNREADY_S = 1.3
+# Left of the time that the platform gives a process to stop.
+STOP_MARGIN_S = 0.7
+ROTATION_POLL_S = 0.1
 # How long a new process waits to hear of targets before it reports itself ready.
 LEARN_TARGETS_S = 1.0
 DEFAULT_IDLE_S = 60.0
@@ -83,6 +87,8 @@
         self._packets: UdpSocket | None = None
         self._stop = StopSignal(telemetry)
         self._configured_at: float | None = None
+        self._leaves_rotation = False
+        self._told_ready = False
         self._fetches: set[asyncio.Task[None]] = set()
 
     async def run(self) -> None:
@@ -119,8 +125,8 @@
                     )
                 ]
                 await self._stop.wait()
-                await asyncio.sleep(FORWARD_AFTER_STOP_S)
-                self._member.leave()
+                await self._leave_rotation()
+                self._member.leave(flows=0)
                 for task in running:
                     task.cancel()
 
@@ -144,6 +150,8 @@
                 if self._member.peers.note_sidecar(ip, message):
                     self._member.welcome(ip)
                     self._member.send(ip, self._status())
+                if self._is_ready() != self._told_ready:
+                    self._tell_entries()
             case EntryStatus():
                 if self._member.peers.note_entry(ip, message):
                     self._member.welcome(ip)
@@ -159,7 +167,10 @@
 
     def _status(self) -> EntryStatus:
         return EntryStatus(
-            self._member.process, self._settings.zone, self._routes.version
+            self._member.process,
+            self._settings.zone,
+            self._routes.version,
+            self._is_ready(),
         )
 
     def _greet(self, ips: list[bytes]) -> None:
@@ -168,7 +179,7 @@
     def _note_version(self) -> None:
         if self._configured_at is None:
             self._configured_at = time.monotonic()
-        self._member.send_all(self._member.peers.entry_ips(), self._status())
+        self._tell_entries()
 
     async def _tell_status(self) -> None:
         peers = self._member.peers
@@ -183,8 +194,32 @@
                 self._telemetry.event("process-was-paused", seconds=round(late_s, 3))
                 peers.note_pause(late_s)
 
+    async def _leave_rotation(self) -> None:
+        """Report unready once the zone can do without, and forward until then."""
+        waits_s = self._settings.stop_limit_s - FORWARD_AFTER_UNREADY_S - STOP_MARGIN_S
+        polls = max(0, int(waits_s / ROTATION_POLL_S))
+        for _ in range(polls):
+            if self._member.peers.rotation().bears_one_less():
+                break
+            await asyncio.sleep(ROTATION_POLL_S)
+        rotation = self._member.peers.rotation()
+        self._telemetry.event(
+            "rotation-left",
+            ready=rotation.ready,
+            absent=rotation.absent,
+            borne=rotation.bears_one_less(),
+        )
+        self._leaves_rotation = True
+        self._tell_entries()
+        await asyncio.sleep(FORWARD_AFTER_UNREADY_S)
+
+    def _tell_entries(self) -> None:
+        status = self._status()
+        self._told_ready = status.ready
+        self._member.send_all(self._member.peers.entry_ips(), status)
+
     def _is_ready(self) -> bool:
-        if self._stop.received or self._configured_at is None:
+        if self._leaves_rotation or self._configured_at is None:
             return False
         waited = time.monotonic() - self._configured_at
         return bool(self._member.peers.sidecars) or waited > LEARN_TARGETS_S
--- a/src/cranberryhold/flows/entry_path.py
+++ b/src/cranberryhold/flows/entry_path.py
@@ -9,10 +9,9 @@
 from cranberryhold.flows.peers import Peers
 from cranberryhold.flows.route_table import RouteTable
 from cranberryhold.flows.segments import Segment, SegmentCodec, flow_text
+from cranberryhold.flows.target_state import NO_SERVICE
 from cranberryhold.flows.telemetry import Telemetry
 
-NO_SERVICE = b"\0\0\0\0"
-
 
 class EntryOutput(Protocol):
     """Where an entry instance's packets go."""
@@ -160,7 +159,13 @@
         self._telemetry.flow_event(
             "flow-searched", flow=flow_text(key), candidates=len(candidates)
         )
-        self._send(Purpose.SEEK, NO_SERVICE, tuple(candidates), packet)
+        self._send(
+            Purpose.SEEK,
+            NO_SERVICE,
+            tuple(candidates),
+            packet,
+            complete=self._peers.search_is_complete(services, len(candidates)),
+        )
 
     def _send(
         self,
@@ -168,8 +173,18 @@
         service: bytes,
         candidates: tuple[bytes, ...],
         packet: bytes,
+        *,
+        complete: bool = False,
     ) -> None:
-        envelope = Envelope(purpose, 0, self._own_ip, service, candidates, packet)
+        envelope = Envelope(
+            purpose,
+            0,
+            self._own_ip,
+            service,
+            candidates,
+            packet,
+            complete=complete,
+        )
         self._output.to_sidecar(envelope.receiver, envelope.encode())
 
     def _refuse(self, key: bytes, reason: str) -> None:
--- a/src/cranberryhold/flows/envelope.py
+++ b/src/cranberryhold/flows/envelope.py
@@ -10,12 +10,13 @@
 from hashlib import blake2b
 
 MAGIC = 0xC7
-MAX_CANDIDATES = 16
+# A whole candidate list and the longest packet together fit an Ethernet frame.
+MAX_CANDIDATES = 50
 NO_CANDIDATE = 0xFF
 MAX_LOAD = 0xFF
 TAG_BYTES = 4
 
-_FIXED = struct.Struct("!BBBB4s4sHBB")
+_FIXED = struct.Struct("!BBBB4s4sQBB?")
 
 
 class Purpose(IntEnum):
@@ -45,6 +46,7 @@
     :param unsure: bit per candidate that could not tell whether it holds the flow.
     :param best: index of the least loaded candidate so far, or ``NO_CANDIDATE``.
     :param best_load: that candidate's load in percent of its slots, at most 255.
+    :param complete: whether the candidates are all members that may hold the flow.
     :param candidates: packed IPv4 numbers of the sidecars to try, in order.
     :param packet: the packet of the flow.
     """
@@ -58,6 +60,7 @@
     unsure: int = 0
     best: int = NO_CANDIDATE
     best_load: int = MAX_LOAD
+    complete: bool = False
 
     def encode(self) -> bytes:
         """Return the datagram."""
@@ -71,6 +74,7 @@
             self.unsure,
             self.best,
             self.best_load,
+            self.complete,
         )
         return head + b"".join(self.candidates) + self.packet
 
@@ -84,9 +88,18 @@
     """Return the envelope, or None if the datagram is malformed."""
     if len(datagram) < _FIXED.size or datagram[0] != MAGIC:
         return None
-    _, purpose, position, count, origin, service, unsure, best, load = (
-        _FIXED.unpack_from(datagram)
-    )
+    (
+        _,
+        purpose,
+        position,
+        count,
+        origin,
+        service,
+        unsure,
+        best,
+        load,
+        complete,
+    ) = _FIXED.unpack_from(datagram)
     end = _FIXED.size + 4 * count
     if (
         not Purpose.OPEN <= purpose <= Purpose.DIRECT
@@ -109,6 +122,7 @@
         unsure,
         best,
         load,
+        complete,
     )
 
 
--- a/src/cranberryhold/flows/http_client.py
+++ b/src/cranberryhold/flows/http_client.py
@@ -5,7 +5,7 @@
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
 
-import h11
+import httptools
 
 from cranberryhold.addresses import Address
 from cranberryhold.exceptions import PeerError
@@ -19,10 +19,53 @@
 class _Link:
     reader: asyncio.StreamReader
     writer: asyncio.StreamWriter
-    state: h11.Connection
     idle_since: float = 0.0
 
 
+class _ResponseParser:
+    """Collects one response; callbacks are named by httptools.
+
+    :param max_body_bytes: the longest body that is kept.
+    """
+
+    def __init__(self, max_body_bytes: int) -> None:
+        self.complete = False
+        self._max_body_bytes = max_body_bytes
+        self._parser = httptools.HttpResponseParser(self)
+        self._body: list[bytes] = []
+        self._size = 0
+
+    @property
+    def status(self) -> int:
+        """Status code."""
+        return self._parser.get_status_code()
+
+    @property
+    def body(self) -> bytes:
+        """The whole body."""
+        return b"".join(self._body)
+
+    @property
+    def keeps_alive(self) -> bool:
+        """Whether the server keeps the connection."""
+        return self._parser.should_keep_alive()
+
+    def feed(self, data: bytes) -> None:
+        """Parse bytes of the connection."""
+        self._parser.feed_data(data)
+
+    def on_body(self, body: bytes) -> None:
+        """Take a part of the body."""
+        self._size += len(body)
+        if self._size > self._max_body_bytes:
+            raise EOFError(f"response over {self._max_body_bytes} bytes")
+        self._body.append(body)
+
+    def on_message_complete(self) -> None:
+        """End the response."""
+        self.complete = True
+
+
 class HttpClient:
     """Calls one server; concurrent calls each use a connection of their own.
 
@@ -49,8 +92,8 @@
         try:
             async with asyncio.timeout(timeout_s):
                 link = await self._connection()
-                status, content = await self._exchange(link, method, target, body)
-        except (OSError, TimeoutError, h11.ProtocolError, EOFError) as error:
+                parser = await self._exchange(link, method, target, body)
+        except (OSError, TimeoutError, httptools.HttpParserError, EOFError) as error:
             raise PeerError(
                 f"no response ({type(error).__name__}: {error}); repeat if the "
                 "request can be repeated",
@@ -58,9 +101,10 @@
                 peer=str(self._address),
             ) from error
         else:
-            self._keep(link)
-            link = None
-            return status, content
+            if parser.keeps_alive:
+                self._keep(link)
+                link = None
+            return parser.status, parser.body
         finally:
             if link is not None:
                 link.writer.transport.abort()
@@ -81,54 +125,27 @@
         reader, writer = await asyncio.open_connection(
             self._address.ip, self._address.port
         )
-        return _Link(reader, writer, h11.Connection(h11.CLIENT))
+        return _Link(reader, writer)
 
     def _keep(self, link: _Link) -> None:
-        state = link.state
-        if state.our_state is not h11.DONE or state.their_state is not h11.DONE:
-            link.writer.close()
-            return
-        state.start_next_cycle()
         link.idle_since = asyncio.get_running_loop().time()
         self.close()
         self._idle = link
 
     async def _exchange(
         self, link: _Link, method: str, target: str, body: bytes
-    ) -> tuple[int, bytes]:
-        headers = [("Host", str(self._address))]
-        if body or method == "POST":
-            headers.append(("Content-Type", "application/json"))
-            headers.append(("Content-Length", str(len(body))))
-        state = link.state
-        head = h11.Request(method=method, target=target, headers=headers)
-        data = state.send(head) or b""
-        if body:
-            data += state.send(h11.Data(data=body)) or b""
-        data += state.send(h11.EndOfMessage()) or b""
-        link.writer.write(data)
-        return await self._read_response(link)
-
-    async def _read_response(self, link: _Link) -> tuple[int, bytes]:
-        status, parts, size = 0, [], 0
-        while True:
-            event = link.state.next_event()
-            if event is h11.NEED_DATA:
-                data = await link.reader.read(READ_BYTES)
-                if not data and link.state.their_state is h11.SEND_RESPONSE:
-                    raise EOFError("connection closed before the response")
-                link.state.receive_data(data)
-            elif isinstance(event, h11.Response):
-                status = event.status_code
-            elif isinstance(event, h11.Data):
-                size += len(event.data)
-                if size > self._max_body_bytes:
-                    raise EOFError(f"response over {self._max_body_bytes} bytes")
-                parts.append(bytes(event.data))
-            elif isinstance(event, h11.EndOfMessage):
-                return status, b"".join(parts)
-            elif isinstance(event, h11.ConnectionClosed):
-                raise EOFError("connection closed")
+    ) -> _ResponseParser:
+        head = f"{method} {target} HTTP/1.1\r\nHost: {self._address}\r\n"
+        if method == "POST":
+            head += f"Content-Type: application/json\r\nContent-Length: {len(body)}\r\n"
+        link.writer.write(head.encode("latin-1") + b"\r\n" + body)
+        parser = _ResponseParser(self._max_body_bytes)
+        while not parser.complete:
+            data = await link.reader.read(READ_BYTES)
+            if not data:
+                raise EOFError("connection closed before the end of the response")
+            parser.feed(data)
+        return parser
 
 
 @asynccontextmanager
--- a/src/cranberryhold/flows/http_server.py
+++ b/src/cranberryhold/flows/http_server.py
@@ -4,8 +4,9 @@
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
+from http import HTTPStatus
 
-import h11
+import httptools
 
 from cranberryhold.addresses import Address
 from cranberryhold.flows.telemetry import Telemetry
@@ -65,7 +66,7 @@
                 port=address.port,
                 error=f"{type(error).__name__}: {error}",
             )
-        except h11.RemoteProtocolError as error:
+        except httptools.HttpParserError as error:
             telemetry.count("http_requests_malformed")
             telemetry.flow_event(
                 "http-request-malformed", port=address.port, error=error
@@ -83,63 +84,73 @@
             writer.close()
 
 
-async def _serve_connection(
-    reader: asyncio.StreamReader, writer: asyncio.StreamWriter, handler: Handler
-) -> None:
-    connection = h11.Connection(h11.SERVER)
-    while True:
-        request = await _read_request(connection, reader)
-        if request is None:
-            return
-        if isinstance(request, Response):
-            response = request
-        else:
-            response = await handler(request)
-        _write_response(connection, writer, response)
-        await writer.drain()
-        if connection.our_state is not h11.DONE or (
-            connection.their_state is not h11.DONE
-        ):
-            return
-        connection.start_next_cycle()
+class _RequestParser:
+    """Collects the requests of one connection; callbacks are named by httptools."""
 
+    def __init__(self) -> None:
+        self.complete: list[tuple[Request, bool]] = []
+        self.too_long = False
+        self._parser = httptools.HttpRequestParser(self)
+        self._target = b""
+        self._body: list[bytes] = []
+        self._size = 0
 
-async def _read_request(
-    connection: h11.Connection, reader: asyncio.StreamReader
-) -> Request | Response | None:
-    """Return the next request; a response if it is refused; None at the end."""
-    head: h11.Request | None = None
-    body = b""
-    while True:
-        event = connection.next_event()
-        if event is h11.NEED_DATA:
-            async with asyncio.timeout(IDLE_TIMEOUT_S):
-                data = await reader.read(READ_BYTES)
-            connection.receive_data(data)
-        elif isinstance(event, h11.Request):
-            head = event
-        elif isinstance(event, h11.Data):
-            body += event.data
-            if len(body) > MAX_BODY_BYTES:
-                return Response(413)
-        elif isinstance(event, h11.EndOfMessage) and head is not None:
-            path = head.target.decode("latin-1").partition("?")[0]
-            return Request(head.method.decode("latin-1"), path, body)
+    def feed(self, data: bytes) -> None:
+        """Parse bytes of the connection."""
+        self._parser.feed_data(data)
+
+    def on_message_begin(self) -> None:
+        """Begin a request."""
+        self._target, self._body, self._size = b"", [], 0
+
+    def on_url(self, target: bytes) -> None:
+        """Take a part of the request target."""
+        self._target += target
+
+    def on_body(self, body: bytes) -> None:
+        """Take a part of the body."""
+        self._size += len(body)
+        if self._size > MAX_BODY_BYTES:
+            self.too_long = True
         else:
-            return None
+            self._body.append(body)
 
+    def on_message_complete(self) -> None:
+        """End a request."""
+        method = self._parser.get_method().decode("latin-1")
+        path = self._target.partition(b"?")[0].decode("latin-1")
+        request = Request(method, path, b"".join(self._body))
+        self.complete.append((request, self._parser.should_keep_alive()))
 
-def _write_response(
-    connection: h11.Connection, writer: asyncio.StreamWriter, response: Response
+
+async def _serve_connection(
+    reader: asyncio.StreamReader, writer: asyncio.StreamWriter, handler: Handler
 ) -> None:
-    headers = [
-        ("Content-Type", response.content_type),
-        ("Content-Length", str(len(response.body))),
-    ]
-    head = h11.Response(status_code=response.status, headers=headers)
-    parts = [
-        connection.send(head),
-        connection.send(h11.Data(data=response.body)),
-        connection.send(h11.EndOfMessage()),
-    ]
-    writer.write(b"".join(part for part in parts if part))
+    parser = _RequestParser()
+    while True:
+        async with asyncio.timeout(IDLE_TIMEOUT_S):
+            data = await reader.read(READ_BYTES)
+        if not data:
+            return
+        parser.feed(data)
+        if parser.too_long:
+            writer.write(_encode(Response(413), keep_alive=False))
+            await writer.drain()
+            return
+        for request, keep_alive in parser.complete:
+            writer.write(_encode(await handler(request), keep_alive=keep_alive))
+            await writer.drain()
+            if not keep_alive:
+                return
+        parser.complete.clear()
+
+
+def _encode(response: Response, *, keep_alive: bool) -> bytes:
+    reason = HTTPStatus(response.status).phrase
+    head = (
+        f"HTTP/1.1 {response.status} {reason}\r\n"
+        f"Content-Type: {response.content_type}\r\n"
+        f"Content-Length: {len(response.body)}\r\n"
+        f"Connection: {'keep-alive' if keep_alive else 'close'}\r\n\r\n"
+    )
+    return head.encode("latin-1") + response.body
--- a/src/cranberryhold/flows/leased_store.py
+++ b/src/cranberryhold/flows/leased_store.py
@@ -26,6 +26,19 @@
     revision: int
 
 
+@dataclass(frozen=True, slots=True)
+class Reading:
+    """An item as of a revision of the store.
+
+    :param item: the item, or None if there is none, or none that is new.
+    :param store_revision: what a wait for later changes begins at. An item's own
+        revision does not serve: the store forgets old changes.
+    """
+
+    item: StoredItem | None
+    store_revision: int
+
+
 @dataclass(frozen=True, slots=True)
 class Written:
     """Outcome of a conditional write.
@@ -48,8 +61,8 @@
     can't be reached or refuses; a write may then have taken effect, or still may.
     """
 
-    async def get(self, key: str) -> StoredItem | None:
-        """Return an item, or None if there is none."""
+    async def get(self, key: str) -> Reading:
+        """Return the present state of an item."""
 
     async def list_items(self, prefix: str, *, may_be_stale: bool) -> list[StoredItem]:
         """Return all items whose key begins with the prefix.
@@ -58,9 +71,9 @@
         """
 
     async def wait_for_change(
-        self, key: str, after_revision: int, wait_s: float
-    ) -> StoredItem | None:
-        """Return the item once it is newer than a revision; None after ``wait_s``.
+        self, key: str, store_revision: int, wait_s: float
+    ) -> Reading:
+        """Return what a key became after a revision, at the latest after ``wait_s``.
 
         :raises StoreHistoryLostError: if the item has to be read anew.
         """
@@ -74,6 +87,9 @@
         :raises LeaseLostError: if it has ended.
         """
 
+    async def end_lease(self, lease: int) -> None:
+        """End a lease; the store drops what was written under it."""
+
     async def write(
         self, key: str, value: bytes, *, expected_revision: int, lease: int
     ) -> Written:
--- a/src/cranberryhold/flows/member_daemon.py
+++ b/src/cranberryhold/flows/member_daemon.py
@@ -110,8 +110,10 @@
             elif isinstance(message, PeerList):
                 self._note_listed(message.entries, message.sidecars, "peer")
             elif isinstance(message, Leaving):
-                if self._peers.note_leaving(ip, message.process):
-                    self._telemetry.event("peer-left", peer=inet_ntoa(ip))
+                if self._peers.note_leaving(ip, message):
+                    self._telemetry.event(
+                        "peer-left", peer=inet_ntoa(ip), flows=message.flows
+                    )
             else:
                 take(ip, message)
 
@@ -145,10 +147,13 @@
         """Count the seeds of the settings as members that may exist."""
         self._peers.note_listed([inet_aton(s.ip) for s in self._settings.seeds], ())
 
-    def leave(self) -> None:
-        """Tell the other members that this process ends."""
+    def leave(self, flows: int) -> None:
+        """Tell the other members that this process ends.
+
+        :param flows: open flows that the target beside this process still holds.
+        """
         ips = [*self._peers.entry_ips(), *self._peers.sidecar_ips()]
-        self.send_all(ips, Leaving(self._process))
+        self.send_all(ips, Leaving(self._process, flows))
 
     async def sweep_regularly(self, sweep: Callable[[], None]) -> None:
         """Forget what is old, until cancelled."""
@@ -160,6 +165,7 @@
 
     def _take_listed(self, members: ListedMembers) -> None:
         self._note_listed(members.entries, members.sidecars, "store")
+        self._peers.note_list_read()
 
     def _note_listed(
         self, entries: Iterable[bytes], sidecars: Iterable[bytes], source: str
--- a/src/cranberryhold/flows/peer_messages.py
+++ b/src/cranberryhold/flows/peer_messages.py
@@ -49,11 +49,13 @@
     :param process: random number of its process.
     :param zone: data centre of the instance.
     :param version: version of the configuration in effect, 0 for none.
+    :param ready: whether it tells the fabric that it takes packets.
     """
 
     process: int
     zone: str
     version: int
+    ready: bool
 
 
 class PeerList(_Message, tag=3):
@@ -88,9 +90,11 @@
     """The sender is about to end; nothing more should be sent to it.
 
     :param process: random number of its process.
+    :param flows: open flows that the sender's target still holds.
     """
 
     process: int
+    flows: int
 
 
 PeerMessage = SidecarStatus | EntryStatus | PeerList | FlowHeld | FlowNotHeld | Leaving
--- a/src/cranberryhold/flows/peers.py
+++ b/src/cranberryhold/flows/peers.py
@@ -3,13 +3,16 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
+from cranberryhold.flows.envelope import MAX_CANDIDATES
 from cranberryhold.flows.peer_messages import (
     MAX_LISTED_PEERS,
     EntryStatus,
+    Leaving,
     PeerList,
     SidecarStatus,
 )
 from cranberryhold.flows.rendezvous import rendezvous_order
+from cranberryhold.flows.target_state import NO_SERVICE
 
 # Bytes per second that a member spends on its statuses at the most.
 STATUS_BUDGET_BYTES_S = 8_000
@@ -19,11 +22,23 @@
 ENTRY_STATUS_INTERVAL_S = 1.0
 # A sidecar that misses this many statuses is offered no packets.
 MISSED_STATUSES = 4
-# Members that are listed or were heard of within this time are sent statuses.
+# Members that were heard or first named within this time are sent statuses.
 FORGET_AFTER_S = 60.0
+# A member that was named by others answers within this time, even if it is being
+# restarted; otherwise it is gone.
+LISTED_ANSWERS_WITHIN_S = 4.0
+# An entry instance that restarts is back within this time.
+DEPARTED_KEPT_S = 10.0
+# An entry instance that misses this many statuses takes no packets.
+MISSED_ENTRY_STATUSES = 3
 # Candidates of a new flow, half of them from the entry instance's own zone.
 OPEN_CANDIDATES = 8
-SEEK_CANDIDATES = 16
+# A sidecar that is silent for longer has ended with its target.
+HOLDS_FLOWS_AFTER_S = 15.0
+# The same for one that had not heard its target.
+HOLDS_NO_FLOWS_AFTER_S = 4.0
+# A process that can't read the list of members has heard of all by then.
+LEARN_MEMBERS_S = 5.0
 # A target in another zone is preferred only if it has this much less to do.
 REMOTE_COST_FACTOR = 1.3
 
@@ -36,12 +51,20 @@
     :param status: what it said last.
     :param heard_at: when, in seconds of the monotonic clock.
     :param placed: flows sent to it since then.
+    :param left: whether its process has ended; another is expected.
     """
 
     ip: bytes
     status: SidecarStatus
     heard_at: float
     placed: int = 0
+    left: bool = False
+
+    def may_hold_flows_s(self) -> float:
+        """Return for how many seconds of silence its target may hold flows."""
+        if self.status.service == NO_SERVICE:
+            return HOLDS_NO_FLOWS_AFTER_S
+        return HOLDS_FLOWS_AFTER_S
 
     def cost(self, zone: str) -> tuple[bool, float]:
         """Return how little it suits for a new flow; the lowest is best."""
@@ -55,13 +78,39 @@
 
 @dataclass(slots=True)
 class EntryPeer:
-    """An entry instance, as it last described itself."""
+    """An entry instance, as it last described itself.
+
+    :param ip: packed IPv4 number.
+    :param status: what it said last.
+    :param heard_at: when, in seconds of the monotonic clock.
+    """
 
     ip: bytes
     status: EntryStatus
     heard_at: float
 
 
+@dataclass(frozen=True, slots=True)
+class Rotation:
+    """The other entry instances of the own zone, as the fabric sees them.
+
+    :param ready: those that take packets.
+    :param absent: those that restart, start or are silent.
+    """
+
+    ready: int
+    absent: int
+
+    def bears_one_less(self) -> bool:
+        """Whether the fabric does without this instance, and without the absent.
+
+        With some but fewer than half of a zone's instances ready, the fabric sends
+        packets to all of them, also to those that do not run.
+        """
+        total = self.ready + self.absent + 1
+        return self.ready == 0 or 2 * self.ready >= total
+
+
 def status_interval_s(shortest_s: float, receivers: int) -> float:
     """Return seconds between statuses to this many members within the budget."""
     return max(shortest_s, receivers * STATUS_BYTES / STATUS_BUDGET_BYTES_S)
@@ -79,9 +128,13 @@
         self._own_ip = own_ip
         self._zone = zone
         self._monotonic = monotonic
+        self._started_at = monotonic()
+        self._list_read = False
         self._entries: dict[bytes, EntryPeer] = {}
+        # Entry instances of the own zone that said they end, and when.
+        self._departed: dict[bytes, float] = {}
         self._sidecars: dict[bytes, SidecarPeer] = {}
-        # Members that were named by others and not heard yet, and until when.
+        # Members that were named by others and not heard yet, and since when.
         self._listed_entries: dict[bytes, float] = {}
         self._listed_sidecars: dict[bytes, float] = {}
 
@@ -103,11 +156,15 @@
         """Return the sidecars that statuses are sent to."""
         return [*self._sidecars, *self._listed_sidecars]
 
+    def note_list_read(self) -> None:
+        """Take note that the store's list of members was read whole."""
+        self._list_read = True
+
     def note_listed(
         self, entries: Iterable[bytes], sidecars: Iterable[bytes]
     ) -> list[bytes]:
         """Take members that others named; return those that are new here."""
-        until = self._monotonic() + FORGET_AFTER_S
+        now = self._monotonic()
         new = []
         for ips, heard, listed in (
             (entries, self._entries, self._listed_entries),
@@ -118,7 +175,7 @@
                     continue
                 if ip not in listed:
                     new.append(ip)
-                listed[ip] = until
+                    listed[ip] = now
         return new
 
     def note_sidecar(self, ip: bytes, status: SidecarStatus) -> bool:
@@ -130,24 +187,50 @@
             self._sidecars[ip] = SidecarPeer(ip, status, now)
             return True
         new = peer.status.process != status.process
-        peer.status, peer.heard_at, peer.placed = status, now, 0
+        if peer.left and not new:
+            return False
+        peer.status, peer.heard_at, peer.placed, peer.left = status, now, 0, False
         return new
 
     def note_entry(self, ip: bytes, status: EntryStatus) -> bool:
         """Take an entry instance's status; return whether its process is new."""
         before = self._entries.get(ip)
         self._listed_entries.pop(ip, None)
+        self._departed.pop(ip, None)
         self._entries[ip] = EntryPeer(ip, status, self._monotonic())
         return before is None or before.status.process != status.process
 
-    def note_leaving(self, ip: bytes, process: int) -> bool:
-        """Forget a process that ends; False if another one is there by now."""
-        for heard in (self._entries, self._sidecars):
-            peer = heard.get(ip)
-            if peer is not None and peer.status.process == process:
-                del heard[ip]
-                return True
-        return False
+    def note_leaving(self, ip: bytes, message: Leaving) -> bool:
+        """Take a process's word that it ends; False if another is there by now.
+
+        A sidecar whose target holds flows is kept, as its successor serves them.
+        """
+        entry = self._entries.get(ip)
+        if entry is not None and entry.status.process == message.process:
+            del self._entries[ip]
+            if entry.status.zone == self._zone:
+                self._departed[ip] = self._monotonic()
+            return True
+        sidecar = self._sidecars.get(ip)
+        if sidecar is None or sidecar.status.process != message.process:
+            return False
+        if message.flows:
+            sidecar.left = True
+        else:
+            del self._sidecars[ip]
+        return True
+
+    def rotation(self) -> Rotation:
+        """Return how many other entry instances of the own zone take packets."""
+        now = self._monotonic()
+        interval = status_interval_s(
+            ENTRY_STATUS_INTERVAL_S, len(self._entries) + len(self._sidecars)
+        )
+        oldest = now - MISSED_ENTRY_STATUSES * interval
+        local = [p for p in self._entries.values() if p.status.zone == self._zone]
+        ready = sum(p.status.ready and p.heard_at >= oldest for p in local)
+        departed = [t for t in self._departed.values() if now - t < DEPARTED_KEPT_S]
+        return Rotation(ready, len(local) - ready + len(departed))
 
     def note_pause(self, seconds: float) -> None:
         """Take note that this process did not run for some time.
@@ -168,16 +251,18 @@
                 del heard[ip]
                 gone.append(ip)
         for listed in (self._listed_entries, self._listed_sidecars):
-            for ip in [i for i, until in listed.items() if until < now]:
+            for ip in [i for i, t in listed.items() if now - t > FORGET_AFTER_S]:
                 del listed[ip]
         return gone
 
     def list_for_newcomer(self) -> PeerList:
-        """Return the members that are known here."""
-        return PeerList(
-            tuple(self._entries)[:MAX_LISTED_PEERS],
-            tuple(self._sidecars)[:MAX_LISTED_PEERS],
+        """Return the members that were heard of late."""
+        oldest = self._monotonic() - LISTED_ANSWERS_WITHIN_S
+        entries, sidecars = (
+            tuple(ip for ip, peer in heard.items() if peer.heard_at >= oldest)
+            for heard in (self._entries, self._sidecars)
         )
+        return PeerList(entries[:MAX_LISTED_PEERS], sidecars[:MAX_LISTED_PEERS])
 
     def is_heard(self, ip: bytes) -> bool:
         """Whether a sidecar was heard of late."""
@@ -200,7 +285,29 @@
     def candidates_for_search(self, key: bytes, services: list[bytes]) -> list[bytes]:
         """Return the sidecars to ask for a flow, the likeliest first."""
         found = [peer for peer in self._reachable() if peer.status.service in services]
-        return [peer.ip for peer in self._nearest(key, found, SEEK_CANDIDATES)]
+        return [peer.ip for peer in self._nearest(key, found, MAX_CANDIDATES)]
+
+    def search_is_complete(self, services: list[bytes], candidates: int) -> bool:
+        """Whether the candidates of a search are all that may hold the flow."""
+        now = self._monotonic()
+        if not self._listed_all(now) or any(
+            now - since < LISTED_ANSWERS_WITHIN_S
+            for since in self._listed_sidecars.values()
+        ):
+            return False
+        holders = [
+            peer
+            for peer in self._sidecars.values()
+            if now - peer.heard_at < peer.may_hold_flows_s()
+            and peer.status.service in (*services, NO_SERVICE)
+        ]
+        return len(holders) == candidates and all(
+            self.is_heard(peer.ip) and peer.status.service in services
+            for peer in holders
+        )
+
+    def _listed_all(self, now: float) -> bool:
+        return self._list_read or now - self._started_at > LEARN_MEMBERS_S
 
     def _silence_s(self) -> float:
         interval = status_interval_s(SIDECAR_STATUS_INTERVAL_S, len(self._entries) + 1)
@@ -209,7 +316,11 @@
     def _reachable(self) -> list[SidecarPeer]:
         """Return the sidecars heard of late, or all if none was."""
         oldest = self._monotonic() - self._silence_s()
-        heard = [peer for peer in self._sidecars.values() if peer.heard_at >= oldest]
+        heard = [
+            peer
+            for peer in self._sidecars.values()
+            if peer.heard_at >= oldest and not peer.left
+        ]
         return heard or list(self._sidecars.values())
 
     def _nearest(
--- a/src/cranberryhold/flows/settings.py
+++ b/src/cranberryhold/flows/settings.py
@@ -19,6 +19,8 @@
     :param metrics_address: where metrics are served over HTTP.
     :param store: address of the store.
     :param seeds: entry instances that may help when the store can't.
+    :param stop_limit_s: seconds after which the platform kills a process that was
+        asked to stop.
     :param max_flow_s: age in seconds from which a flow may be forgotten.
     """
 
@@ -30,6 +32,7 @@
     metrics_address: Address
     store: Address
     seeds: tuple[Address, ...]
+    stop_limit_s: float
     max_flow_s: float
 
 
--- a/src/cranberryhold/flows/sidecar_daemon.py
+++ b/src/cranberryhold/flows/sidecar_daemon.py
@@ -25,12 +25,15 @@
 from cranberryhold.flows.segments import SegmentCodec
 from cranberryhold.flows.settings import FlowSidecarSettings
 from cranberryhold.flows.sidecar_path import SidecarPath
+from cranberryhold.flows.target_presence import target_listens
 from cranberryhold.flows.target_state import BeatOutcome, Heartbeat, TargetState
 from cranberryhold.flows.telemetry import Telemetry
 from cranberryhold.flows.udp import UdpSocket, open_udp
 
 # Requests in progress are finished before the process ends, if they take no longer.
 DRAIN_LIMIT_S = 3.0
+# Between checks of a target whose heartbeats are overdue.
+PRESENCE_INTERVAL_S = 0.5
 DRAIN_POLL_S = 0.05
 # New flows are on their way until the entry instances have heard of the stop.
 DRAIN_LEAST_S = 0.1
@@ -127,14 +130,18 @@
                     for work in (
                         self._member.announcer.run(),
                         self._tell_status(),
+                        self._check_presence(),
                         self._member.sweep_regularly(self._path.sweep),
                     )
                 ]
                 await self._stop.wait()
                 await self._drain()
-                self._member.leave()
+                held = self._path.held_flows()
+                self._member.leave(held)
                 for task in running:
                     task.cancel()
+                if not held:
+                    await self._member.announcer.withdraw()
 
     def to_target(self, packet: bytes) -> None:
         """Hand a packet to the target."""
@@ -220,6 +227,16 @@
             receivers = len(self._member.peers.entry_ips())
             await asyncio.sleep(status_interval_s(SIDECAR_STATUS_INTERVAL_S, receivers))
 
+    async def _check_presence(self) -> None:
+        """Find out about a target that ended without a word."""
+        while True:
+            if self._path.target_is_overdue():
+                listens = await target_listens(self._settings.target_address)
+                self._telemetry.count("presence_checks")
+                if listens is False and self._path.note_target_absent():
+                    self._tell_all()
+            await asyncio.sleep(PRESENCE_INTERVAL_S)
+
     async def _drain(self) -> None:
         self._path.leave()
         self._tell_all()
--- a/src/cranberryhold/flows/sidecar_path.py
+++ b/src/cranberryhold/flows/sidecar_path.py
@@ -16,6 +16,7 @@
 from cranberryhold.flows.peer_messages import FlowHeld, FlowNotHeld, PeerMessage
 from cranberryhold.flows.segments import Segment, SegmentCodec, flow_text
 from cranberryhold.flows.target_state import (
+    NO_TARGET,
     BeatOutcome,
     Heartbeat,
     TargetState,
@@ -107,6 +108,14 @@
         """Whether new flows may be offered to the target."""
         return not self._leaving and self._target.accepts_flows(self._boot_time())
 
+    def held_flows(self) -> int:
+        """Return how many open flows the target may still hold."""
+        if self._target.service == NO_TARGET:
+            return 0
+        if self._monotonic() < self._unsure_until:
+            return max(1, len(self._flows))
+        return sum(1 for _ in self._flows.open_flows())
+
     def note_heartbeat(self, beat: Heartbeat) -> BeatOutcome:
         """Take a heartbeat of the target."""
         first = self._target.last is None
@@ -138,6 +147,23 @@
         self._telemetry.event("target-ended", target=target_id, current=ended)
         return ended
 
+    def target_is_overdue(self) -> bool:
+        """Whether the target has not been heard within the usual time."""
+        return self._target.is_overdue(self._boot_time())
+
+    def note_target_absent(self) -> bool:
+        """Take note that no target runs; return whether that is new."""
+        if not self._target.note_absent():
+            return False
+        self._end_flows("target-absent")
+        self._unsure_until = self._monotonic()
+        self._telemetry.event(
+            "target-absent",
+            heartbeat_age_s=round(self._target.age_s(self._boot_time()), 3),
+            flows=len(self._ended_flows),
+        )
+        return True
+
     def take_from_member(self, datagram: bytes) -> None:
         """Handle a datagram of an entry instance or another sidecar."""
         envelope = decode_envelope(datagram)
@@ -245,7 +271,7 @@
             self._deliver(envelope, segment, key)
             return
         if record is None and key in self._ended_flows:
-            self._reset(key, segment)
+            self._reset(key, segment, self._ended_flows.pop(key))
             return
         unsure = record is None and self._monotonic() < self._unsure_until
         if envelope.purpose is Purpose.SEEK_AT_UNSURE or (
@@ -258,10 +284,14 @@
         else:
             if unsure:
                 envelope.unsure |= 1 << envelope.position
-            self._seek_on(envelope, key)
+            self._seek_on(envelope, segment, key)
+
+    def _seek_on(self, envelope: Envelope, segment: Segment, key: bytes) -> None:
+        """Pass a packet on to the next sidecar that may hold its flow.
 
-    def _seek_on(self, envelope: Envelope, key: bytes) -> None:
-        """Pass a packet on to the next sidecar that may hold its flow."""
+        If all have denied it, the flow ended with its target, and a reset lets the
+        caller go on at once.
+        """
         if envelope.purpose is Purpose.SEEK:
             if envelope.position + 1 < len(envelope.candidates):
                 self._pass_on(envelope, envelope.position + 1)
@@ -274,7 +304,10 @@
             if envelope.unsure >> position & 1:
                 self._pass_on(envelope, position)
                 return
-        self._discard(key, "holder-unknown")
+        if envelope.complete and segment.length:
+            self._reset(key, segment, "held-by-no-target")
+        else:
+            self._discard(key, "holder-unknown")
 
     def _pass_on(self, envelope: Envelope, position: int) -> None:
         envelope.position = position
@@ -303,7 +336,7 @@
         if self._flows.get(key) is not None:
             self._flows.remove(key)
         if envelope.purpose is Purpose.SEEK_AT_UNSURE:
-            self._seek_on(envelope, key)
+            self._seek_on(envelope, segment, key)
             return
         self._output.to_peer(envelope.origin, FlowNotHeld(key))
         self._discard(key, "returned")
@@ -314,9 +347,8 @@
             record.reported_to = origin
             self._output.to_peer(origin, FlowHeld(key, record.first_sequence))
 
-    def _reset(self, key: bytes, segment: Segment) -> None:
+    def _reset(self, key: bytes, segment: Segment, reason: str) -> None:
         """Tell a caller that its flow ended with the target that held it."""
-        reason = self._ended_flows.pop(key)
         self._telemetry.count("flows_reset")
         self._telemetry.flow_event("flow-reset", flow=flow_text(key), reason=reason)
         if not segment.resets:
--- a/src/cranberryhold/flows/target_state.py
+++ b/src/cranberryhold/flows/target_state.py
@@ -5,6 +5,12 @@
 
 from cranberryhold.flows.envelope import service_tag
 
+NO_SERVICE = b"\0\0\0\0"
+"""Tag of a sidecar that does not know yet whether there is a target."""
+
+NO_TARGET = b"\xff\xff\xff\xff"
+"""Tag of a sidecar without a target."""
+
 # Heartbeats are late by a fraction of their interval on a calm day.
 _MISSED_INTERVALS = 1.9
 
@@ -62,7 +68,8 @@
         self._heard_at = 0.0
         self._cold_until = 0.0
         self._ended = False
-        self._tag = b"\0\0\0\0"
+        self._absent = False
+        self._tag = NO_SERVICE
 
     @property
     def last(self) -> Heartbeat | None:
@@ -76,8 +83,8 @@
 
     @property
     def service(self) -> bytes:
-        """Tag of the target's service, 4 zero bytes before the first heartbeat."""
-        return self._tag
+        """Tag of the target's service, ``NO_SERVICE`` or ``NO_TARGET``."""
+        return NO_TARGET if self._ended or self._absent else self._tag
 
     @property
     def slots(self) -> int:
@@ -93,10 +100,15 @@
         return (
             self._last is not None
             and not self._ended
+            and not self._absent
             and self._last.phase is TargetPhase.READY
             and self.age_s(now) <= self._fresh_s
         )
 
+    def is_overdue(self, now: float) -> bool:
+        """Whether there is no target that was heard within the usual time."""
+        return self._last is None or self.age_s(now) > self._fresh_s
+
     def is_cold(self, now: float) -> bool:
         """Whether the target still is slow after its start."""
         return now < self._cold_until
@@ -119,6 +131,7 @@
         if before is None or before.service != beat.service:
             self._tag = service_tag(beat.service)
         self._last = beat
+        self._absent = False
         self._heard_at = now
         self._cold_until = now + beat.cold_for_s
         if fresh:
@@ -129,6 +142,15 @@
             return BeatOutcome.DRAINS
         return BeatOutcome.REFRESHED
 
+    def note_absent(self) -> bool:
+        """Take note that no program listens at the target's address.
+
+        :return: whether that is new.
+        """
+        new = not self._absent
+        self._absent = True
+        return new
+
     def note_end(self, target_id: str) -> bool:
         """Take a target's word that it is gone; False if it is not this one."""
         if self._last is None or self._last.target_id != target_id:
--- a/src/cranberryhold/flows/telemetry.py
+++ b/src/cranberryhold/flows/telemetry.py
@@ -1,10 +1,16 @@
-"""Structured log lines and counters of a process, both bounded under load."""
+"""Structured log lines and counters of a process, both bounded under load.
+
+Lines have the form that :mod:`cranberryhold.logs` documents. They are written here
+directly, as importing loguru takes a sixth of a flow daemon's time to start.
+"""
 
 import os
+import time
 from collections import Counter
 from collections.abc import Callable
+from typing import Protocol
 
-from cranberryhold.logs import log_event
+from cranberryhold.log_pairs import format_pairs
 
 # Per kind of flow event: lines per second in the long run, and in a burst.
 FLOW_EVENTS_PER_S = 10.0
@@ -69,13 +75,26 @@
         return True
 
 
+class LineOutput(Protocol):
+    """Where log lines go."""
+
+    def write(self, line: str) -> None:
+        """Write one line that ends with a line feed, without waiting."""
+
+
 class Telemetry:
     """Log and counters of one process.
 
+    :param node: name of the instance, a part of each line.
+    :param output: where lines go.
     :param monotonic: clock of the rate limits, in seconds.
     """
 
-    def __init__(self, monotonic: Callable[[], float]) -> None:
+    def __init__(
+        self, node: str, output: LineOutput, monotonic: Callable[[], float]
+    ) -> None:
+        self._node = node
+        self._output = output
         self._monotonic = monotonic
         self._allowances: dict[str, _Allowance] = {}
         self._counts: Counter[str] = Counter()
@@ -104,7 +123,7 @@
 
     def event(self, event: str, /, *, level: str = "INFO", **fields: object) -> None:
         """Log an event that is rare by its nature."""
-        log_event(event, level=level, stack_depth=2, **fields)
+        self._write(level, event, fields)
 
     def flow_event(self, event: str, /, **fields: object) -> None:
         """Log an event that callers cause, within the rate limit of its kind."""
@@ -118,7 +137,18 @@
         if allowance.suppressed:
             fields["suppressed"] = allowance.suppressed
             allowance.suppressed = 0
-        log_event(event, stack_depth=2, **fields)
+        self._write("INFO", event, fields)
+
+    def _write(self, level: str, event: str, fields: dict[str, object]) -> None:
+        now = time.time()
+        seconds = time.strftime("%Y-%m-%dT%H:%M:%S", time.gmtime(now))
+        head = {
+            "time": f"{seconds}.{int(now % 1 * 1000):03}Z",
+            "level": level.lower(),
+            "node": self._node,
+            "event": event,
+        }
+        self._output.write(format_pairs({**head, **fields}) + "\n")
 
 
 class NonBlockingOutput:
@@ -145,6 +175,3 @@
             # The only place to report it is the output that just failed; the
             # metrics carry the count.
             self._dropped += 1
-
-    def flush(self) -> None:
-        """Nothing is buffered."""
--- a/src/cranberryhold/logs.py
+++ b/src/cranberryhold/logs.py
@@ -5,7 +5,6 @@
 JSON string.
 """
 
-import json
 import sys
 from datetime import UTC
 from pathlib import Path
@@ -13,6 +12,8 @@
 
 from loguru import logger
 
+from cranberryhold.log_pairs import format_pairs
+
 _EVENT = "event="
 
 
@@ -47,20 +48,6 @@
     logger.opt(depth=stack_depth).log(level, "{}", pairs)
 
 
-def format_pairs(fields: dict[str, object]) -> str:
-    """Return ``key=value key=value``."""
-    return " ".join(f"{key}={_quoted(value)}" for key, value in fields.items())
-
-
-def _quoted(value: object) -> str:
-    if value is None or isinstance(value, bool):
-        return json.dumps(value)
-    text = str(value)
-    if text and text.isprintable() and not any(c in text for c in " \"'=\\"):
-        return text
-    return json.dumps(text, ensure_ascii=not text.isprintable())
-
-
 def _format(record: dict[str, Any]) -> str:
     """Build the line; loguru then fills in the template that is returned."""
     time = record["time"].astimezone(UTC).isoformat(timespec="milliseconds")
--- a/src/cranberryhold/platform/__main__.py
+++ b/src/cranberryhold/platform/__main__.py
@@ -8,11 +8,11 @@
 from cranberryhold.exceptions import CranberryholdError
 from cranberryhold.flows.http_client import http_client
 from cranberryhold.flows.telemetry import NonBlockingOutput, Telemetry
-from cranberryhold.logs import setup_logs
 from cranberryhold.platform.heartbeats import HeartbeatCalls
 from cranberryhold.platform.operator_configuration import OperatorConfiguration
 from cranberryhold.platform.packets import PacketCodec
 from cranberryhold.platform.settings import (
+    PlatformSettings,
     member_settings,
     read_settings,
     sidecar_settings,
@@ -23,31 +23,28 @@
 MAX_STORE_BODY_BYTES = 4 << 20
 
 
-async def _run_entry(telemetry: Telemetry) -> None:
+async def _run_entry(settings: PlatformSettings, telemetry: Telemetry) -> None:
     from cranberryhold.flows.entry_daemon import EntryDaemon
 
-    settings = member_settings(read_settings())
-    async with http_client(settings.store, MAX_STORE_BODY_BYTES) as client:
+    member = member_settings(settings)
+    async with http_client(member.store, MAX_STORE_BODY_BYTES) as client:
         store = PlatformStore(client, telemetry.count)
-        telemetry.event("started", role="entry", name=settings.name, zone=settings.zone)
         await EntryDaemon(
-            settings, PacketCodec(), store, OperatorConfiguration(), telemetry
+            member, PacketCodec(), store, OperatorConfiguration(), telemetry
         ).run()
 
 
-async def _run_sidecar(telemetry: Telemetry) -> None:
+async def _run_sidecar(settings: PlatformSettings, telemetry: Telemetry) -> None:
     from cranberryhold.flows.sidecar_daemon import SidecarDaemon
 
-    settings = sidecar_settings(read_settings())
-    member = settings.member
-    async with http_client(member.store, MAX_STORE_BODY_BYTES) as client:
+    sidecar = sidecar_settings(settings)
+    async with http_client(sidecar.member.store, MAX_STORE_BODY_BYTES) as client:
         store = PlatformStore(client, telemetry.count)
-        telemetry.event("started", role="sidecar", name=member.name, zone=member.zone)
         await SidecarDaemon(
-            settings,
+            sidecar,
             PacketCodec(),
             store,
-            HeartbeatCalls(str(settings.target_address)),
+            HeartbeatCalls(str(sidecar.target_address)),
             telemetry,
         ).run()
 
@@ -57,12 +54,14 @@
     parser = argparse.ArgumentParser(prog="cranberryhold.platform", description=__doc__)
     parser.add_argument("role", choices=ROLES)
     role = parser.parse_args().role
-    setup_logs(stream=NonBlockingOutput(sys.stdout.fileno()))
-    telemetry = Telemetry(time.monotonic)
+    output = NonBlockingOutput(sys.stdout.fileno())
+    telemetry = Telemetry(role, output, time.monotonic)
     try:
-        asyncio.run(
-            _run_entry(telemetry) if role == "entry" else _run_sidecar(telemetry)
-        )
+        settings = read_settings()
+        telemetry = Telemetry(settings.node_name, output, time.monotonic)
+        run = _run_entry if role == "entry" else _run_sidecar
+        telemetry.event("started", role=role, zone=settings.zone, ip=settings.ip)
+        asyncio.run(run(settings, telemetry))
     except CranberryholdError as error:
         telemetry.event("start-failed", level="ERROR", error=error)
         return 1
--- a/src/cranberryhold/platform/settings.py
+++ b/src/cranberryhold/platform/settings.py
@@ -2,7 +2,6 @@
 
 import os
 from collections.abc import Mapping
-from pathlib import Path
 
 import msgspec
 
@@ -16,6 +15,7 @@
 
 
 class _Bounds(msgspec.Struct, rename="camel"):
+    grace_period_s: float
     max_flow_s: float
     reuse_after_s: float
 
@@ -25,7 +25,9 @@
     ttl_min_ms: int
 
 
-class _Settings(msgspec.Struct, rename="camel"):
+class PlatformSettings(msgspec.Struct, rename="camel"):
+    """The fields of the settings file that are used."""
+
     node_name: str
     ip: str
     zone: str
@@ -41,14 +43,15 @@
     service: str | None = None
 
 
-def read_settings(environment: Mapping[str, str] = os.environ) -> _Settings:
+def read_settings(environment: Mapping[str, str] = os.environ) -> PlatformSettings:
     """Return the settings in the file that the environment names.
 
     :raises SettingsError: naming the file and the field that is wrong.
     """
     path = environment.get(PATH_VARIABLE, "")
     try:
-        return msgspec.json.decode(Path(path).read_bytes(), type=_Settings)
+        with open(path, "rb") as file:
+            return msgspec.json.decode(file.read(), type=PlatformSettings)
     except (OSError, msgspec.MsgspecError) as error:
         raise SettingsError(
             f"{PATH_VARIABLE}={path!r}: {error}; name a readable settings file",
@@ -56,7 +59,7 @@
         ) from error
 
 
-def member_settings(settings: _Settings) -> MemberSettings:
+def member_settings(settings: PlatformSettings) -> MemberSettings:
     """Return what every flow daemon needs."""
     return MemberSettings(
         name=settings.node_name,
@@ -67,11 +70,12 @@
         metrics_address=Address(settings.ip, METRICS_PORT),
         store=_address(settings.platform.address, "platform.address"),
         seeds=tuple(_address(seed, "seedAddrs") for seed in settings.seed_addrs),
+        stop_limit_s=settings.bounds.grace_period_s,
         max_flow_s=settings.bounds.max_flow_s,
     )
 
 
-def sidecar_settings(settings: _Settings) -> FlowSidecarSettings:
+def sidecar_settings(settings: PlatformSettings) -> FlowSidecarSettings:
     """Return the settings of the sidecar beside a target."""
     return FlowSidecarSettings(
         member=member_settings(settings),
@@ -84,7 +88,7 @@
     )
 
 
-def _listen_address(settings: _Settings, name: str) -> Address:
+def _listen_address(settings: PlatformSettings, name: str) -> Address:
     return _address(settings.listen_addrs.get(name, ""), f"listenAddrs.{name}")
 
 
--- a/src/cranberryhold/platform/store.py
+++ b/src/cranberryhold/platform/store.py
@@ -11,6 +11,7 @@
 from cranberryhold.flows.http_client import HttpClient
 from cranberryhold.flows.leased_store import (
     LeaseLostError,
+    Reading,
     StoredItem,
     StoreHistoryLostError,
     Written,
@@ -20,12 +21,12 @@
 CALL_TIMEOUT_S = 1.5
 # A waiting call may be answered this much later than asked.
 WATCH_SLACK_S = 1.0
-_KEY = "/kv-key"
 _RANGE = "/kv-range"
 _WATCH = "/kv-watch"
 _TXN = "/kv-txn"
 _LEASE = "/kv-lease"
 _KEEP = "/kv-keep"
+_LEASE_END = "/kv-lease-end"
 
 CallCounter = Callable[[str], None]
 _T = TypeVar("_T")
@@ -42,13 +43,17 @@
         return StoredItem(self.key, b64decode(self.value), self.revision)
 
 
-class _Range(msgspec.Struct):
+class _Range(msgspec.Struct, rename="camel"):
     items: list[_Item]
+    # Revision of the whole store at the time of the answer.
+    store_revision: int
     truncated: bool = False
 
 
-class _Events(msgspec.Struct):
+class _Events(msgspec.Struct, rename="camel"):
     events: list[_Item]
+    # Revision up to which the events are complete.
+    store_revision: int
 
 
 class _Conflict(msgspec.Struct):
@@ -75,12 +80,13 @@
         self._client = client
         self._count = count
 
-    async def get(self, key: str) -> StoredItem | None:
-        """Return an item, or None if there is none."""
-        status, body = await self._call("GET", _KEY, {"key": key})
-        if status == 404:
-            return None
-        return self._decode(status, body, _Item, _KEY).stored()
+    async def get(self, key: str) -> Reading:
+        """Return the present state of an item."""
+        # An absent key has no answer that names the store's revision, a list has.
+        status, body = await self._call("GET", _RANGE, {"prefix": key})
+        page = self._decode(status, body, _Range, _RANGE)
+        item = next((item.stored() for item in page.items if item.key == key), None)
+        return Reading(item, page.store_revision)
 
     async def list_items(self, prefix: str, *, may_be_stale: bool) -> list[StoredItem]:
         """Return all items whose key begins with the prefix, page by page."""
@@ -97,10 +103,10 @@
             query["after"] = page.items[-1].key
 
     async def wait_for_change(
-        self, key: str, after_revision: int, wait_s: float
-    ) -> StoredItem | None:
-        """Return the item once it is newer than a revision; None after ``wait_s``."""
-        query = {"prefix": key, "after": after_revision, "waitMs": int(wait_s * 1000)}
+        self, key: str, store_revision: int, wait_s: float
+    ) -> Reading:
+        """Return what a key became after a revision, at the latest after ``wait_s``."""
+        query = {"prefix": key, "after": store_revision, "waitMs": int(wait_s * 1000)}
         status, body = await self._call(
             "GET", _WATCH, query, timeout_s=wait_s + WATCH_SLACK_S
         )
@@ -108,9 +114,10 @@
             raise StoreHistoryLostError(
                 "the store's history was cut; read the item anew", step=_WATCH
             )
-        events = self._decode(status, body, _Events, _WATCH).events
-        newest = [e for e in events if e.key == key and not e.deleted]
-        return newest[-1].stored() if newest else None
+        answer = self._decode(status, body, _Events, _WATCH)
+        newest = [e for e in answer.events if e.key == key and not e.deleted]
+        item = newest[-1].stored() if newest else None
+        return Reading(item, answer.store_revision)
 
     async def grant_lease(self, ttl_s: float) -> int:
         """Return a new lease."""
@@ -126,6 +133,12 @@
             raise LeaseLostError("the lease has ended; take a new one", step=_KEEP)
         self._expect_success(status, _KEEP)
 
+    async def end_lease(self, lease: int) -> None:
+        """End a lease; the store drops what was written under it."""
+        status, _ = await self._call("DELETE", f"{_LEASE_END}/{lease}")
+        if status != 404:
+            self._expect_success(status, _LEASE_END)
+
     async def write(
         self, key: str, value: bytes, *, expected_revision: int, lease: int
     ) -> Written:
