--- a/src/cranberryhold/flows/announcement.py
+++ b/src/cranberryhold/flows/announcement.py
@@ -6,7 +6,6 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass
 from random import Random
 from socket import inet_aton, inet_ntoa
 from typing import Literal
@@ -40,8 +39,7 @@
     process: int
 
 
-@dataclass(frozen=True, slots=True)
-class ListedMembers:
+class ListedMembers(Struct, frozen=True):
     """Members by role, as packed IPv4 numbers."""
 
     entries: tuple[bytes, ...]
--- a/src/cranberryhold/flows/envelope.py
+++ b/src/cranberryhold/flows/envelope.py
@@ -5,10 +5,11 @@
 """
 
 import struct
-from dataclasses import dataclass
 from enum import IntEnum
 from hashlib import blake2b
 
+from msgspec import Struct
+
 MAGIC = 0xC7
 # A whole candidate list and the longest packet together fit an Ethernet frame.
 MAX_CANDIDATES = 50
@@ -35,8 +36,7 @@
     DIRECT = 5
 
 
-@dataclass(slots=True)
-class Envelope:
+class Envelope(Struct):
     """A packet on its way between members.
 
     :param purpose: what to do with the packet.
--- a/src/cranberryhold/flows/flow_cache.py
+++ b/src/cranberryhold/flows/flow_cache.py
@@ -1,6 +1,6 @@
 """What an entry instance knows of where flows are."""
 
-from dataclasses import dataclass, field
+from msgspec import Struct
 
 from cranberryhold.flows.segments import Segment, sequence_distance
 
@@ -9,8 +9,7 @@
 MAX_SENT = 1 << 28
 
 
-@dataclass(slots=True)
-class FlowLocation:
+class FlowLocation(Struct):
     """Where a flow is.
 
     :param holders: packed IPv4 number of each sidecar that reported the flow, and
@@ -22,8 +21,8 @@
 
     service: bytes
     last_used: float
-    holders: dict[bytes, int | None] = field(default_factory=dict)
-    tried: list[bytes] = field(default_factory=list)
+    holders: dict[bytes, int | None] = {}
+    tried: list[bytes] = []
 
     def holder_for(self, segment: Segment) -> bytes | None:
         """Return the sidecar whose target the caller's packet acknowledges.
--- a/src/cranberryhold/flows/flow_table.py
+++ b/src/cranberryhold/flows/flow_table.py
@@ -1,7 +1,8 @@
 """Flows of the target beside a sidecar, learned from the packets that pass."""
 
 from collections.abc import Iterator
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 from cranberryhold.flows.segments import Segment, sequence_distance
 
@@ -14,8 +15,7 @@
 CLOSED_KEPT_S = 3.0
 
 
-@dataclass(slots=True)
-class FlowRecord:
+class FlowRecord(Struct):
     """One flow at the target.
 
     :param first_sequence: sequence number of the target's SYN+ACK, or None if the
--- a/src/cranberryhold/flows/http_client.py
+++ b/src/cranberryhold/flows/http_client.py
@@ -3,9 +3,9 @@
 import asyncio
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
-from dataclasses import dataclass
 
 import httptools
+from msgspec import Struct
 
 from cranberryhold.addresses import Address
 from cranberryhold.exceptions import PeerError
@@ -15,8 +15,7 @@
 MAX_IDLE_S = 20.0
 
 
-@dataclass(slots=True)
-class _Link:
+class _Link(Struct):
     reader: asyncio.StreamReader
     writer: asyncio.StreamWriter
     idle_since: float = 0.0
--- a/src/cranberryhold/flows/http_server.py
+++ b/src/cranberryhold/flows/http_server.py
@@ -3,10 +3,9 @@
 import asyncio
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
-from dataclasses import dataclass
-from http import HTTPStatus
 
 import httptools
+from msgspec import Struct
 
 from cranberryhold.addresses import Address
 from cranberryhold.flows.telemetry import Telemetry
@@ -17,9 +16,16 @@
 # A probe that comes twice per second keeps its connection.
 IDLE_TIMEOUT_S = 10.0
 
+_REASONS = {
+    200: "OK",
+    400: "Bad Request",
+    404: "Not Found",
+    413: "Content Too Large",
+    503: "Service Unavailable",
+}
 
-@dataclass(frozen=True, slots=True)
-class Request:
+
+class Request(Struct, frozen=True):
     """A request.
 
     :param method: method in capitals.
@@ -34,8 +40,7 @@
     body: bytes
 
 
-@dataclass(frozen=True, slots=True)
-class Response:
+class Response(Struct, frozen=True):
     """A response with its whole body."""
 
     status: int
@@ -148,7 +153,7 @@
 
 
 def _encode(response: Response, *, keep_alive: bool) -> bytes:
-    reason = HTTPStatus(response.status).phrase
+    reason = _REASONS.get(response.status, "")
     head = (
         f"HTTP/1.1 {response.status} {reason}\r\n"
         f"Content-Type: {response.content_type}\r\n"
--- a/src/cranberryhold/flows/leased_store.py
+++ b/src/cranberryhold/flows/leased_store.py
@@ -1,8 +1,9 @@
 """What the flow daemons need of the store that outlives all instances."""
 
-from dataclasses import dataclass
 from typing import Protocol
 
+from msgspec import Struct
+
 from cranberryhold.exceptions import StoreError
 
 
@@ -14,8 +15,7 @@
     """The lease has ended; a new one is needed."""
 
 
-@dataclass(frozen=True, slots=True)
-class StoredItem:
+class StoredItem(Struct, frozen=True):
     """A key with its value.
 
     :param revision: the store's revision of the last change of this key.
@@ -26,8 +26,7 @@
     revision: int
 
 
-@dataclass(frozen=True, slots=True)
-class Reading:
+class Reading(Struct, frozen=True):
     """An item as of a revision of the store.
 
     :param item: the item, or None if there is none, or none that is new.
@@ -39,8 +38,7 @@
     store_revision: int
 
 
-@dataclass(frozen=True, slots=True)
-class Written:
+class Written(Struct, frozen=True):
     """Outcome of a conditional write.
 
     :param done: whether it took effect.
--- a/src/cranberryhold/flows/peers.py
+++ b/src/cranberryhold/flows/peers.py
@@ -1,7 +1,8 @@
 """The other members, as far as this process has heard of them."""
 
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 from cranberryhold.flows.envelope import MAX_CANDIDATES
 from cranberryhold.flows.peer_messages import (
@@ -43,8 +44,7 @@
 REMOTE_COST_FACTOR = 1.3
 
 
-@dataclass(slots=True)
-class SidecarPeer:
+class SidecarPeer(Struct):
     """A sidecar and its target, as it last described them.
 
     :param ip: packed IPv4 number.
@@ -76,8 +76,7 @@
         return busy, share * factor
 
 
-@dataclass(slots=True)
-class EntryPeer:
+class EntryPeer(Struct):
     """An entry instance, as it last described itself.
 
     :param ip: packed IPv4 number.
@@ -90,8 +89,7 @@
     heard_at: float
 
 
-@dataclass(frozen=True, slots=True)
-class Rotation:
+class Rotation(Struct, frozen=True):
     """The other entry instances of the own zone, as the fabric sees them.
 
     :param ready: those that take packets.
--- a/src/cranberryhold/flows/route_table.py
+++ b/src/cranberryhold/flows/route_table.py
@@ -1,14 +1,14 @@
 """Which service takes the flows to which address."""
 
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, field
 from hashlib import blake2b
 
+from msgspec import Struct
+
 from cranberryhold.flows.envelope import service_tag
 
 
-@dataclass(frozen=True, slots=True)
-class WeightedService:
+class WeightedService(Struct, frozen=True):
     """A service's share of the new flows of a route.
 
     :param name: name of the service.
@@ -19,8 +19,7 @@
     weight: int
 
 
-@dataclass(frozen=True, slots=True)
-class Route:
+class Route(Struct, frozen=True):
     """An address that callers open flows to.
 
     :param name: name of the route in the operator's configuration.
@@ -35,8 +34,7 @@
     services: tuple[WeightedService, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class Configuration:
+class Configuration(Struct, frozen=True):
     """One version of the operator's configuration.
 
     :param version: grows with each change, not always by one.
@@ -50,14 +48,13 @@
     routes: tuple[Route, ...]
     service_names: frozenset[str]
     idle_timeout_s: float
-    document: bytes = field(repr=False)
+    document: bytes
 
 
-@dataclass(slots=True)
-class _Choice:
+class _Choice(Struct):
     route: Route
     tags: tuple[bytes, ...]
-    former: dict[bytes, float] = field(default_factory=dict)
+    former: dict[bytes, float] = {}
 
 
 class RouteTable:
--- a/src/cranberryhold/flows/segments.py
+++ b/src/cranberryhold/flows/segments.py
@@ -1,14 +1,14 @@
 """The packets of a flow, as the decisions see them."""
 
-from dataclasses import dataclass
 from socket import inet_ntoa
 from typing import Protocol
 
+from msgspec import Struct
+
 SEQUENCE_MODULUS = 1 << 32
 
 
-@dataclass(frozen=True, slots=True)
-class Endpoint:
+class Endpoint(Struct, frozen=True):
     """One end of a flow.
 
     :param ip: packed IPv4 number (4 bytes).
@@ -22,8 +22,7 @@
         return f"{inet_ntoa(self.ip)}:{self.port}"
 
 
-@dataclass(slots=True)
-class Segment:
+class Segment(Struct):
     """A decoded packet. Field names follow TCP.
 
     :param source: packed IPv4 number of the sender's end.
--- a/src/cranberryhold/flows/settings.py
+++ b/src/cranberryhold/flows/settings.py
@@ -1,12 +1,11 @@
 """Settings of the flow daemons."""
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 from cranberryhold.addresses import Address
 
 
-@dataclass(frozen=True, slots=True)
-class MemberSettings:
+class MemberSettings(Struct, frozen=True):
     """What every flow daemon needs.
 
     :param name: unique name of the instance.
@@ -36,8 +35,7 @@
     max_flow_s: float
 
 
-@dataclass(frozen=True, slots=True)
-class FlowSidecarSettings:
+class FlowSidecarSettings(Struct, frozen=True):
     """Settings of the sidecar beside a target.
 
     :param member: what every flow daemon needs.
--- a/src/cranberryhold/flows/target_state.py
+++ b/src/cranberryhold/flows/target_state.py
@@ -1,8 +1,9 @@
 """What a sidecar believes of the target beside it, from the target's heartbeats."""
 
-from dataclasses import dataclass
 from enum import Enum
 
+from msgspec import Struct
+
 from cranberryhold.flows.envelope import service_tag
 
 NO_SERVICE = b"\0\0\0\0"
@@ -31,8 +32,7 @@
     OUTDATED = "outdated"
 
 
-@dataclass(frozen=True, slots=True)
-class Heartbeat:
+class Heartbeat(Struct, frozen=True):
     """What a target says of itself.
 
     :param target_id: id of the target; a restarted target may keep it.
--- a/src/cranberryhold/log_pairs.py
+++ b/src/cranberryhold/log_pairs.py
@@ -1,6 +1,6 @@
 """Pairs of a log line: ``key=value key=value``."""
 
-import json
+_CONSTANTS = {None: "null", True: "true", False: "false"}
 
 
 def format_pairs(fields: dict[str, object]) -> str:
@@ -10,8 +10,11 @@
 
 def _quoted(value: object) -> str:
     if value is None or isinstance(value, bool):
-        return json.dumps(value)
+        return _CONSTANTS[value]
     text = str(value)
     if text and text.isprintable() and not any(c in text for c in " \"'=\\"):
         return text
+    # Imported here, as few of a daemon's first lines need quotes.
+    import json
+
     return json.dumps(text, ensure_ascii=not text.isprintable())
--- a/src/cranberryhold/platform/store.py
+++ b/src/cranberryhold/platform/store.py
@@ -3,7 +3,6 @@
 from base64 import b64decode, b64encode
 from collections.abc import Callable
 from typing import Any, TypeVar
-from urllib.parse import urlencode
 
 import msgspec
 
@@ -169,7 +168,9 @@
         body: object = None,
         timeout_s: float = CALL_TIMEOUT_S,
     ) -> tuple[int, bytes]:
-        target = f"{path}?{urlencode(query)}" if query else path
+        # Keys and numbers need no escapes: keys are paths of plain names.
+        pairs = [f"{name}={value}" for name, value in (query or {}).items()]
+        target = f"{path}?{'&'.join(pairs)}" if pairs else path
         content = msgspec.json.encode(body) if body is not None else b""
         try:
             status, answer = await self._client.call(method, target, content, timeout_s)
--- a/tests/test_flow_store.py
+++ b/tests/test_flow_store.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import json
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 from random import Random
 from socket import inet_aton
 
@@ -284,6 +284,8 @@
             yield announcer, heard, counted
         finally:
             task.cancel()
+            with suppress(asyncio.CancelledError):
+                await task
 
     async def test_a_member_is_listed_and_learns_of_the_others(self):
         async with running_store() as (stand_in, store):
@@ -341,10 +343,9 @@
                 )
 
     async def test_a_member_that_ends_withdraws_its_entry(self):
-        async with (
-            running_store() as (stand_in, store),
-            self.announcing(store) as (announcer, _, _counted),
-        ):
-            await until(lambda: self.OWN in stand_in.keys)
+        async with running_store() as (stand_in, store):
+            async with self.announcing(store) as (announcer, _, _counted):
+                await until(lambda: self.OWN in stand_in.keys)
+            # The daemon, too, ends the task first: it would announce anew.
             await announcer.withdraw()
             assert self.OWN not in stand_in.keys
