Forward packets while an entry daemon is still being loaded

Cause: at 0.236 cores, loading asyncio and what builds on it takes 0.4 s after a restart, in which retransmissions of open flows are lost. An entry daemon now opens its sockets, reads configuration and members with two plain calls, and forwards, while a thread loads the rest. Ruled out: waiting for heartbeats (the targets repeat them at once after a failure).

The store and the target are logged when lost and regained, and each SYN that a sidecar passes on with the reason.

--- a/src/cranberryhold/addresses.py
+++ b/src/cranberryhold/addresses.py
@@ -2,7 +2,8 @@
 
 import socket
 import struct
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 from cranberryhold.exceptions import AddressError
 
@@ -11,8 +12,7 @@
 PACKED_BYTES = 6
 
 
-@dataclass(frozen=True, slots=True, order=True)
-class Address:
+class Address(Struct, frozen=True, order=True):
     """An IPv4 address and a port.
 
     >>> Address.parse("127.0.0.1:4433").pack().hex()
--- /dev/null
+++ b/src/cranberryhold/flows/adoption.py
@@ -0,0 +1,86 @@
+"""Puts newer versions of the operator's configuration into effect."""
+
+from collections.abc import Callable
+from typing import Protocol
+
+from cranberryhold.exceptions import CranberryholdError
+from cranberryhold.flows.route_table import Configuration, RouteTable, changed_routes
+from cranberryhold.flows.telemetry import Telemetry
+
+
+class ConfigurationSource(Protocol):
+    """Which key holds the configuration, and how to read it."""
+
+    @property
+    def key(self) -> str:
+        """Key of the newest configuration in the store."""
+
+    def decode(self, document: bytes) -> Configuration:
+        """Return the configuration.
+
+        :raises CranberryholdError: if the document is malformed.
+        """
+
+
+class Adopter:
+    """Reads documents, and puts each that is newer into effect.
+
+    :param source: how to read a document.
+    :param routes: where versions are put into effect.
+    :param telemetry: log and counters.
+    :param monotonic: clock in seconds.
+    :param on_change: called after a version was adopted.
+    """
+
+    def __init__(
+        self,
+        source: ConfigurationSource,
+        routes: RouteTable,
+        telemetry: Telemetry,
+        *,
+        monotonic: Callable[[], float],
+        on_change: Callable[[], None],
+    ) -> None:
+        self._source = source
+        self._routes = routes
+        self._telemetry = telemetry
+        self._monotonic = monotonic
+        self._on_change = on_change
+
+    @property
+    def key(self) -> str:
+        """Key of the configuration in the store."""
+        return self._source.key
+
+    @property
+    def version(self) -> int:
+        """Version in effect, 0 before the first."""
+        return self._routes.version
+
+    def adopt(self, document: bytes, **origin: object) -> None:
+        """Put a document into effect if it is a newer version."""
+        before = self._routes.configuration
+        try:
+            configuration = self._source.decode(document)
+        except CranberryholdError as error:
+            self._telemetry.count("configurations_malformed")
+            self._telemetry.event(
+                "configuration-malformed", level="ERROR", error=error, **origin
+            )
+            return
+        if not self._routes.adopt(configuration, self._monotonic()):
+            return
+        added, removed = changed_routes(
+            before.routes if before else (), configuration.routes
+        )
+        self._telemetry.count("configurations_adopted")
+        self._telemetry.event(
+            "configuration-adopted",
+            version=configuration.version,
+            previous=before.version if before else None,
+            routes=len(configuration.routes),
+            added=len(added),
+            removed=",".join(removed[:10]),
+            **origin,
+        )
+        self._on_change()
--- a/src/cranberryhold/flows/announcement.py
+++ b/src/cranberryhold/flows/announcement.py
@@ -7,57 +7,27 @@
 import asyncio
 from collections.abc import Callable
 from random import Random
-from socket import inet_aton, inet_ntoa
-from typing import Literal
+from socket import inet_ntoa
 
-from msgspec import MsgspecError, Struct, json
+from msgspec import json
 
 from cranberryhold.exceptions import StoreError
 from cranberryhold.flows.configuration import Backoff
-from cranberryhold.flows.leased_store import LeasedStore, LeaseLostError, StoredItem
+from cranberryhold.flows.dependency import Dependency
+from cranberryhold.flows.leased_store import LeasedStore, LeaseLostError
+from cranberryhold.flows.member_list import (
+    PREFIX,
+    ListedMembers,
+    MemberEntry,
+    read_members,
+)
 from cranberryhold.flows.telemetry import Telemetry
 
-PREFIX = "cranberryhold/members/"
 LEASE_TTL_S = 12.0
 RENEWALS_PER_TTL = 3
 # Shows an entry that the store has dropped without ending the lease.
 LIST_INTERVAL_S = 12.0
 
-Role = Literal["entry", "sidecar"]
-
-
-class MemberEntry(Struct, frozen=True, forbid_unknown_fields=True):
-    """What the store holds of a member.
-
-    :param role: kind of daemon.
-    :param zone: data centre.
-    :param process: random number of the process.
-    """
-
-    role: Role
-    zone: str
-    process: int
-
-
-class ListedMembers(Struct, frozen=True):
-    """Members by role, as packed IPv4 numbers."""
-
-    entries: tuple[bytes, ...]
-    sidecars: tuple[bytes, ...]
-
-
-def read_members(items: list[StoredItem], telemetry: Telemetry) -> ListedMembers:
-    """Return the members in the list; entries of other writers are left out."""
-    found: dict[str, list[bytes]] = {"entry": [], "sidecar": []}
-    for item in items:
-        try:
-            entry = json.decode(item.value, type=MemberEntry)
-            found[entry.role].append(inet_aton(item.key.removeprefix(PREFIX)))
-        except (MsgspecError, OSError) as error:
-            telemetry.count("member_entries_malformed")
-            telemetry.flow_event("member-entry-malformed", key=item.key, error=error)
-    return ListedMembers(tuple(found["entry"]), tuple(found["sidecar"]))
-
 
 class Announcer:
     """Keeps this member's entry in the store.
@@ -66,6 +36,7 @@
     :param entry: what to list.
     :param store: the store.
     :param telemetry: log and counters.
+    :param dependency: log of the store's failures.
     :param random: source of jitter.
     :param on_members: takes the list each time it was read.
     """
@@ -77,6 +48,7 @@
         store: LeasedStore,
         telemetry: Telemetry,
         *,
+        dependency: Dependency,
         random: Random,
         on_members: Callable[[ListedMembers], None],
     ) -> None:
@@ -86,6 +58,7 @@
         self._telemetry = telemetry
         self._random = random
         self._on_members = on_members
+        self._dependency = dependency
         self._lease: int | None = None
         self._revision = 0
 
@@ -105,9 +78,10 @@
                 self._lease = None
                 await backoff.pause()
             except StoreError as error:
-                self._telemetry.flow_event("announcement-failed", error=error)
+                self._dependency.failed(error)
                 await backoff.pause()
             else:
+                self._dependency.answered()
                 backoff.reset()
                 pause_s = LEASE_TTL_S / RENEWALS_PER_TTL
                 await asyncio.sleep(pause_s * self._random.uniform(0.8, 1.0))
--- a/src/cranberryhold/flows/configuration.py
+++ b/src/cranberryhold/flows/configuration.py
@@ -1,19 +1,18 @@
 """Keeps an entry instance at the newest version of the operator's configuration."""
 
 import asyncio
-from collections.abc import Callable
 from random import Random
-from typing import Protocol
 
 from cranberryhold.addresses import Address
-from cranberryhold.exceptions import CranberryholdError, PeerError, StoreError
+from cranberryhold.exceptions import PeerError, StoreError
+from cranberryhold.flows.adoption import Adopter
+from cranberryhold.flows.dependency import Dependency
 from cranberryhold.flows.http_client import http_client
 from cranberryhold.flows.leased_store import (
     LeasedStore,
     StoredItem,
     StoreHistoryLostError,
 )
-from cranberryhold.flows.route_table import Configuration, RouteTable, changed_routes
 from cranberryhold.flows.telemetry import Telemetry
 
 # A watch that has gone silent is noticed soon enough to have a change in force
@@ -47,56 +46,40 @@
         await asyncio.sleep(seconds)
 
 
-class ConfigurationSource(Protocol):
-    """Which key holds the configuration, and how to read it."""
-
-    @property
-    def key(self) -> str:
-        """Key of the newest configuration in the store."""
-
-    def decode(self, document: bytes) -> Configuration:
-        """Return the configuration.
-
-        :raises CranberryholdError: if the document is malformed.
-        """
-
-
 class ConfigurationFollower:
-    """Adopts newer versions from the store, and from peers that know them first.
+    """Takes newer versions from the store, and from peers that know them first.
 
-    :param source: where the configuration is and how to read it.
+    :param adopter: puts documents into effect.
     :param store: the store.
-    :param routes: where versions are put into effect.
     :param telemetry: log and counters.
+    :param dependency: log of the store's failures.
     :param random: source of jitter.
-    :param monotonic: clock in seconds.
-    :param on_change: called after a version was adopted.
     """
 
     def __init__(
         self,
-        source: ConfigurationSource,
+        adopter: Adopter,
         store: LeasedStore,
-        routes: RouteTable,
         telemetry: Telemetry,
         *,
+        dependency: Dependency,
         random: Random,
-        monotonic: Callable[[], float],
-        on_change: Callable[[], None],
     ) -> None:
-        self._source = source
+        self._dependency = dependency
+        self._adopter = adopter
         self._store = store
-        self._routes = routes
         self._telemetry = telemetry
         self._random = random
-        self._monotonic = monotonic
-        self._on_change = on_change
         self._fetching = False
 
-    async def run(self) -> None:
-        """Follow the store, until cancelled."""
+    async def run(self, store_revision: int | None = None) -> None:
+        """Follow the store, until cancelled.
+
+        :param store_revision: revision of the store at which the configuration was
+            read before, or None.
+        """
         backoff = Backoff(self._random)
-        revision: int | None = None
+        revision = store_revision
         while True:
             try:
                 revision = await self._step(revision)
@@ -107,63 +90,36 @@
                 revision = None
                 await backoff.pause()
             except StoreError as error:
-                self._telemetry.flow_event("configuration-unread", error=error)
+                self._dependency.failed(error)
                 await backoff.pause()
             else:
+                self._dependency.answered()
                 backoff.reset()
 
     async def _step(self, revision: int | None) -> int:
         if revision is None:
-            reading = await self._store.get(self._source.key)
+            reading = await self._store.get(self._adopter.key)
         else:
             reading = await self._store.wait_for_change(
-                self._source.key, revision, WATCH_WAIT_S
+                self._adopter.key, revision, WATCH_WAIT_S
             )
         if reading.item is not None:
             self._adopt_item(reading.item)
         return reading.store_revision
 
     def _adopt_item(self, item: StoredItem) -> None:
-        self.adopt(item.value, source="store", revision=item.revision)
-
-    def adopt(self, document: bytes, **origin: object) -> None:
-        """Put a document into effect if it is a newer version."""
-        before = self._routes.configuration
-        try:
-            configuration = self._source.decode(document)
-        except CranberryholdError as error:
-            self._telemetry.count("configurations_malformed")
-            self._telemetry.event(
-                "configuration-malformed", level="ERROR", error=error, **origin
-            )
-            return
-        if not self._routes.adopt(configuration, self._monotonic()):
-            return
-        added, removed = changed_routes(
-            before.routes if before else (), configuration.routes
-        )
-        self._telemetry.count("configurations_adopted")
-        self._telemetry.event(
-            "configuration-adopted",
-            version=configuration.version,
-            previous=before.version if before else None,
-            routes=len(configuration.routes),
-            added=len(added),
-            removed=",".join(removed[:10]),
-            **origin,
-        )
-        self._on_change()
+        self._adopter.adopt(item.value, source="store", revision=item.revision)
 
     async def fetch_from(self, peer: Address, version: int) -> None:
         """Ask a peer for its configuration if it names a newer version."""
-        if version <= self._routes.version or self._fetching:
+        if version <= self._adopter.version or self._fetching:
             return
         self._fetching = True
         try:
             async with http_client(peer, MAX_DOCUMENT_BYTES) as client:
                 status, body = await client.call("GET", PEER_PATH, b"", PEER_TIMEOUT_S)
             if status == 200:
-                self.adopt(body, source=str(peer))
+                self._adopter.adopt(body, source=str(peer))
         except PeerError as error:
             self._telemetry.flow_event(
                 "configuration-not-fetched", peer=str(peer), error=error
--- /dev/null
+++ b/src/cranberryhold/flows/early_forwarding.py
@@ -0,0 +1,69 @@
+"""Forwards packets while the rest of an entry instance is still being loaded.
+
+On a frontend's share of a core, loading asyncio and what builds on it takes several
+tenths of a second, during which open flows would stand still after a restart.
+"""
+
+import select
+from collections.abc import Callable
+from queue import Empty, SimpleQueue
+from threading import Event, Thread
+
+from cranberryhold.flows.entry_core import EntryCore, Reader
+from cranberryhold.flows.leased_store import FirstReading
+from cranberryhold.flows.member_list import read_members
+
+# Longest until what the loading thread has read is put into effect.
+POLL_S = 0.02
+# The same under a load of packets.
+ADOPTED_WITHIN_S = 0.5
+
+
+def forward_while_loading(
+    core: EntryCore,
+    readers: list[Reader],
+    read_store: Callable[[], FirstReading | None],
+    load: Callable[[], None],
+) -> FirstReading | None:
+    """Forward packets until ``load`` has returned in a thread of its own.
+
+    :param core: state and reactions of the instance; used by this thread only.
+    :param readers: open sockets and what takes their datagrams.
+    :param read_store: reads configuration and members, waiting for the answers.
+    :param load: imports the rest of the program.
+    :return: what was read from the store, or None.
+    """
+    read: SimpleQueue[FirstReading | None] = SimpleQueue()
+
+    adopted = Event()
+
+    def work() -> None:
+        read.put(read_store())
+        # Loading would slow the other thread down just then.
+        adopted.wait(ADOPTED_WITHIN_S)
+        load()
+
+    thread = Thread(target=work, daemon=True)
+    thread.start()
+    by_descriptor = {socket.fileno(): (socket, take) for socket, take in readers}
+    reading: FirstReading | None = None
+    while thread.is_alive():
+        for descriptor in select.select(list(by_descriptor), [], [], POLL_S)[0]:
+            socket, take = by_descriptor[descriptor]
+            socket.read(take)
+        try:
+            reading = read.get_nowait()
+        except Empty:
+            continue
+        if reading is not None:
+            _adopt(core, reading)
+        adopted.set()
+    return reading
+
+
+def _adopt(core: EntryCore, reading: FirstReading) -> None:
+    core.member.note_listed(read_members(reading.members, core.telemetry))
+    if reading.configuration is not None:
+        item = reading.configuration
+        core.adopter.adopt(item.value, source="store", revision=item.revision)
+    core.tell_status()
--- a/src/cranberryhold/flows/http_client.py
+++ b/src/cranberryhold/flows/http_client.py
@@ -9,6 +9,7 @@
 
 from cranberryhold.addresses import Address
 from cranberryhold.exceptions import PeerError
+from cranberryhold.flows.http_messages import ResponseParser, encode_request
 
 READ_BYTES = 64 * 1024
 # A connection that was idle for longer may have gone silent unnoticed.
@@ -21,50 +22,6 @@
     idle_since: float = 0.0
 
 
-class _ResponseParser:
-    """Collects one response; callbacks are named by httptools.
-
-    :param max_body_bytes: the longest body that is kept.
-    """
-
-    def __init__(self, max_body_bytes: int) -> None:
-        self.complete = False
-        self._max_body_bytes = max_body_bytes
-        self._parser = httptools.HttpResponseParser(self)
-        self._body: list[bytes] = []
-        self._size = 0
-
-    @property
-    def status(self) -> int:
-        """Status code."""
-        return self._parser.get_status_code()
-
-    @property
-    def body(self) -> bytes:
-        """The whole body."""
-        return b"".join(self._body)
-
-    @property
-    def keeps_alive(self) -> bool:
-        """Whether the server keeps the connection."""
-        return self._parser.should_keep_alive()
-
-    def feed(self, data: bytes) -> None:
-        """Parse bytes of the connection."""
-        self._parser.feed_data(data)
-
-    def on_body(self, body: bytes) -> None:
-        """Take a part of the body."""
-        self._size += len(body)
-        if self._size > self._max_body_bytes:
-            raise EOFError(f"response over {self._max_body_bytes} bytes")
-        self._body.append(body)
-
-    def on_message_complete(self) -> None:
-        """End the response."""
-        self.complete = True
-
-
 class HttpClient:
     """Calls one server; concurrent calls each use a connection of their own.
 
@@ -133,12 +90,9 @@
 
     async def _exchange(
         self, link: _Link, method: str, target: str, body: bytes
-    ) -> _ResponseParser:
-        head = f"{method} {target} HTTP/1.1\r\nHost: {self._address}\r\n"
-        if method == "POST":
-            head += f"Content-Type: application/json\r\nContent-Length: {len(body)}\r\n"
-        link.writer.write(head.encode("latin-1") + b"\r\n" + body)
-        parser = _ResponseParser(self._max_body_bytes)
+    ) -> ResponseParser:
+        link.writer.write(encode_request(self._address, method, target, body))
+        parser = ResponseParser(self._max_body_bytes)
         while not parser.complete:
             data = await link.reader.read(READ_BYTES)
             if not data:
--- a/src/cranberryhold/flows/leased_store.py
+++ b/src/cranberryhold/flows/leased_store.py
@@ -38,6 +38,19 @@
     store_revision: int
 
 
+class FirstReading(Struct, frozen=True):
+    """What an entry instance reads before anything else.
+
+    :param configuration: the operator's configuration, or None if there is none.
+    :param store_revision: what a wait for later configurations begins at.
+    :param members: the list of members.
+    """
+
+    configuration: StoredItem | None
+    store_revision: int
+    members: list[StoredItem]
+
+
 class Written(Struct, frozen=True):
     """Outcome of a conditional write.
 
--- /dev/null
+++ b/src/cranberryhold/flows/member.py
@@ -0,0 +1,145 @@
+"""The own process among the other members."""
+
+import time
+from collections.abc import Callable, Iterable
+from random import Random
+from socket import inet_aton, inet_ntoa
+
+from cranberryhold.flows.member_list import ListedMembers
+from cranberryhold.flows.peer_messages import (
+    Leaving,
+    PeerList,
+    PeerMessage,
+    decode_message,
+    encode_message,
+)
+from cranberryhold.flows.peers import Peers
+from cranberryhold.flows.settings import MemberSettings
+from cranberryhold.flows.telemetry import Telemetry
+from cranberryhold.flows.udp import UdpSocket
+
+_PROCESS_BITS = 32
+
+
+class Member:
+    """The own process as a member: its peers, and the messages to and from them.
+
+    :param settings: settings of the daemon.
+    :param telemetry: log and counters.
+    :param on_listed: takes members that were named for the first time.
+    """
+
+    def __init__(
+        self,
+        settings: MemberSettings,
+        telemetry: Telemetry,
+        *,
+        on_listed: Callable[[list[bytes]], None],
+    ) -> None:
+        self._settings = settings
+        self._on_listed = on_listed
+        self._telemetry = telemetry
+        self._random = Random()
+        self._process = self._random.getrandbits(_PROCESS_BITS)
+        self._ip = inet_aton(settings.peer_address.ip)
+        self._peers = Peers(self._ip, settings.zone, time.monotonic)
+        self._socket: UdpSocket | None = None
+        self._take: Callable[[bytes, PeerMessage], None] | None = None
+
+    @property
+    def ip(self) -> bytes:
+        """Packed IPv4 number of this instance."""
+        return self._ip
+
+    @property
+    def process(self) -> int:
+        """Random number of this process."""
+        return self._process
+
+    @property
+    def random(self) -> Random:
+        """Source of jitter."""
+        return self._random
+
+    @property
+    def peers(self) -> Peers:
+        """The other members."""
+        return self._peers
+
+    def attach(
+        self, socket: UdpSocket, take: Callable[[bytes, PeerMessage], None]
+    ) -> None:
+        """Send messages by a socket, and hand on those that are not handled here."""
+        self._socket = socket
+        self._take = take
+
+    def receive(self, datagram: bytes, ip: bytes) -> None:
+        """Handle a datagram of another member."""
+        message = decode_message(datagram)
+        if message is None:
+            self._telemetry.count("messages_malformed")
+        elif isinstance(message, PeerList):
+            self._note_listed(message.entries, message.sidecars, "peer")
+        elif isinstance(message, Leaving):
+            if self._peers.note_leaving(ip, message):
+                self._telemetry.event(
+                    "peer-left", peer=inet_ntoa(ip), flows=message.flows
+                )
+        elif self._take is not None:
+            self._take(ip, message)
+
+    def send(self, ip: bytes, message: PeerMessage) -> None:
+        """Send a message to a member."""
+        self.send_all((ip,), message)
+
+    def send_all(self, ips: Iterable[bytes], message: PeerMessage) -> None:
+        """Send a message to several members."""
+        if self._socket is None:
+            return
+        datagram = encode_message(message)
+        port = self._settings.peer_address.port
+        for ip in ips:
+            if ip != self._ip:
+                self._socket.send(datagram, ip, port)
+
+    def welcome(self, ip: bytes) -> None:
+        """Tell a process that was not known before which members there are."""
+        self._telemetry.event(
+            "peer-joined",
+            peer=inet_ntoa(ip),
+            entries=len(self._peers.entries),
+            sidecars=len(self._peers.sidecars),
+        )
+        self.send(ip, self._peers.list_for_newcomer())
+
+    def note_seeds(self) -> None:
+        """Count the seeds of the settings as members that may exist."""
+        self._peers.note_listed([inet_aton(s.ip) for s in self._settings.seeds], ())
+
+    def leave(self, flows: int) -> None:
+        """Tell the other members that this process ends.
+
+        :param flows: open flows that the target beside this process still holds.
+        """
+        ips = [*self._peers.entry_ips(), *self._peers.sidecar_ips()]
+        self.send_all(ips, Leaving(self._process, flows))
+
+    def sweep(self) -> None:
+        """Forget members that were not heard for long."""
+        for ip in self._peers.forget_silent():
+            self._telemetry.event("peer-forgotten", peer=inet_ntoa(ip))
+
+    def note_listed(self, members: ListedMembers) -> None:
+        """Take the store's list of members."""
+        self._note_listed(members.entries, members.sidecars, "store")
+        self._peers.note_list_read()
+
+    def _note_listed(
+        self, entries: Iterable[bytes], sidecars: Iterable[bytes], source: str
+    ) -> None:
+        new = self._peers.note_listed(entries, sidecars)
+        if new:
+            self._telemetry.event(
+                "peers-listed", source=source, new=",".join(map(inet_ntoa, new[:16]))
+            )
+            self._on_listed(new)
--- a/src/cranberryhold/flows/sidecar_daemon.py
+++ b/src/cranberryhold/flows/sidecar_daemon.py
@@ -8,13 +8,16 @@
 from typing import Protocol
 
 from cranberryhold.exceptions import CranberryholdError
+from cranberryhold.flows.dependency import Dependency
 from cranberryhold.flows.http_server import Request, Response, serving_http
 from cranberryhold.flows.leased_store import LeasedStore
+from cranberryhold.flows.member import Member
 from cranberryhold.flows.member_daemon import (
-    Member,
     StopSignal,
+    announcer_of,
     boot_time,
     serving_member_http,
+    sweep_regularly,
 )
 from cranberryhold.flows.peer_messages import (
     EntryStatus,
@@ -70,9 +73,16 @@
         self._settings = settings
         self._telemetry = telemetry
         self._heartbeats = heartbeats
-        self._member = Member(
-            "sidecar", settings.member, store, telemetry, on_listed=self._greet
+        self._member = Member(settings.member, telemetry, on_listed=self._greet)
+        self._announcer = announcer_of(
+            "sidecar",
+            self._member,
+            settings.member,
+            store,
+            telemetry,
+            Dependency("store", telemetry, time.monotonic),
         )
+        self._target_dependency = Dependency("target", telemetry, time.monotonic)
         self._target = TargetState(
             settings.heartbeat_interval_s, settings.address_reuse_s
         )
@@ -107,8 +117,14 @@
                 open_udp(member.peer_address, self._telemetry)
             )
             self._member.attach(messages, self._take_message)
-            self._packets.read_with(self._take_from_member)
-            self._outbound.read_with(self._take_from_target)
+            loop = asyncio.get_running_loop()
+            for socket, take in (
+                (self._packets, self._take_from_member),
+                (self._outbound, self._take_from_target),
+                (messages, self._member.receive),
+            ):
+                loop.add_reader(socket.fileno(), socket.read, take)
+                stack.callback(loop.remove_reader, socket.fileno())
             self._member.note_seeds()
             async with (
                 serving_http(
@@ -128,10 +144,10 @@
                 running = [
                     tasks.create_task(work)
                     for work in (
-                        self._member.announcer.run(),
+                        self._announcer.run(),
                         self._tell_status(),
                         self._check_presence(),
-                        self._member.sweep_regularly(self._path.sweep),
+                        sweep_regularly(self._member.sweep, self._path.sweep),
                     )
                 ]
                 await self._stop.wait()
@@ -141,7 +157,7 @@
                 for task in running:
                     task.cancel()
                 if not held:
-                    await self._member.announcer.withdraw()
+                    await self._announcer.withdraw()
 
     def to_target(self, packet: bytes) -> None:
         """Hand a packet to the target."""
@@ -191,6 +207,7 @@
             self._telemetry.count("heartbeats_malformed")
             self._telemetry.flow_event("heartbeat-malformed", error=error)
             return Response(400)
+        self._target_dependency.answered()
         if read is None:
             return Response(404)
         if isinstance(read, str):
@@ -231,6 +248,7 @@
         """Find out about a target that ended without a word."""
         while True:
             if self._path.target_is_overdue():
+                self._target_dependency.failed("no heartbeat in time")
                 listens = await target_listens(self._settings.target_address)
                 self._telemetry.count("presence_checks")
                 if listens is False and self._path.note_target_absent():
--- a/src/cranberryhold/flows/sidecar_path.py
+++ b/src/cranberryhold/flows/sidecar_path.py
@@ -218,14 +218,15 @@
         key = segment.flow_from_caller()
         wanted = envelope.service == self._target.service
         if not wanted or not self.accepts_flows():
-            self._pass_opening_on(envelope, key)
+            reason = "not-accepting" if wanted else "other-service"
+            self._pass_opening_on(envelope, key, reason)
             return
         record = self._flows.get(key)
         load = self._load_percent()
         if record is None and envelope.purpose is Purpose.OPEN and load >= 100:
             if load < envelope.best_load:
                 envelope.best, envelope.best_load = envelope.position, load
-            self._pass_opening_on(envelope, key)
+            self._pass_opening_on(envelope, key, "no-free-slot")
             return
         self._note_origin(key, envelope.origin)
         self._deliver(envelope, segment, key)
@@ -242,25 +243,30 @@
             slots = max(1, slots // 2)
         return min(MAX_LOAD - 1, 100 * self._flows.running // slots)
 
-    def _pass_opening_on(self, envelope: Envelope, key: bytes) -> None:
+    def _pass_opening_on(self, envelope: Envelope, key: bytes, reason: str) -> None:
+        onward = None
         if envelope.purpose is Purpose.OPEN:
             if envelope.position + 1 < len(envelope.candidates):
-                self._pass_on(envelope, envelope.position + 1)
-                return
-            if envelope.best != NO_CANDIDATE:
+                onward = envelope.position + 1
+            elif envelope.best != NO_CANDIDATE:
                 envelope.purpose = Purpose.OPEN_AT_BEST
-                self._pass_on(envelope, envelope.best)
-                return
+                onward = envelope.best
         last = self._target.last
-        self._telemetry.count("openings_refused")
         self._telemetry.flow_event(
-            "flow-refused",
+            "flow-refused" if onward is None else "flow-passed-on",
             flow=flow_text(key),
-            reason="no-candidate-accepts",
+            reason=reason,
+            position=envelope.position,
             candidates=len(envelope.candidates),
+            running=self._flows.running,
+            slots=self._target.slots,
             phase=last.phase.value if last else None,
             heartbeat_age_s=round(self._target.age_s(self._boot_time()), 3),
         )
+        if onward is None:
+            self._telemetry.count("openings_refused")
+        else:
+            self._pass_on(envelope, onward)
 
     def _take_segment(self, envelope: Envelope, segment: Segment) -> None:
         key = segment.flow_from_caller()
@@ -328,10 +334,7 @@
             self._discard(key, "returned-unknown")
             return
         if segment.opens:
-            self._telemetry.flow_event(
-                "flow-returned", flow=flow_text(key), running=self._flows.running
-            )
-            self._pass_opening_on(envelope, key)
+            self._pass_opening_on(envelope, key, "returned-by-target")
             return
         if self._flows.get(key) is not None:
             self._flows.remove(key)
--- a/src/cranberryhold/flows/udp.py
+++ b/src/cranberryhold/flows/udp.py
@@ -1,9 +1,8 @@
 """UDP sockets that are read in batches."""
 
-import asyncio
 import socket
 from collections.abc import Callable, Iterator
-from contextlib import contextmanager, suppress
+from contextlib import contextmanager
 
 from cranberryhold.addresses import Address
 from cranberryhold.flows.telemetry import Telemetry
@@ -36,12 +35,15 @@
                 "send-failed", peer=f"{socket.inet_ntoa(ip)}:{port}", error=error
             )
 
-    def read_with(self, take: Callable[[bytes, bytes], None]) -> None:
-        """Call ``take`` with each datagram and its sender's packed IPv4 number."""
-        loop = asyncio.get_running_loop()
-        loop.add_reader(self._sock.fileno(), self._read, take)
+    def fileno(self) -> int:
+        """Return the file descriptor, for an event loop or a selector."""
+        return self._sock.fileno()
 
-    def _read(self, take: Callable[[bytes, bytes], None]) -> None:
+    def read(self, take: Callable[[bytes, bytes], None]) -> None:
+        """Call ``take`` with each waiting datagram and its sender's packed IPv4.
+
+        Returns after a batch, so that other work gets its turn.
+        """
         receive = self._sock.recvfrom
         for _ in range(MAX_BATCH):
             try:
@@ -72,7 +74,4 @@
         sock.bind((address.ip, address.port))
         yield UdpSocket(sock, telemetry)
     finally:
-        # Without a running loop there is no reader to remove.
-        with suppress(RuntimeError):
-            asyncio.get_running_loop().remove_reader(sock.fileno())
         sock.close()
--- /dev/null
+++ b/src/cranberryhold/platform/entry_runner.py
@@ -0,0 +1,26 @@
+"""Runs an entry instance with the platform's store."""
+
+import asyncio
+
+from cranberryhold.flows.entry_core import EntryCore, Reader
+from cranberryhold.flows.entry_daemon import EntryDaemon
+from cranberryhold.flows.http_client import http_client
+from cranberryhold.flows.leased_store import FirstReading
+from cranberryhold.platform.store import PlatformStore
+
+
+def run_entry(
+    core: EntryCore,
+    readers: list[Reader],
+    reading: FirstReading | None,
+    max_store_body_bytes: int,
+) -> None:
+    """Run until the process is asked to stop."""
+
+    async def run() -> None:
+        async with http_client(core.settings.store, max_store_body_bytes) as client:
+            store = PlatformStore(client, core.telemetry.count)
+            revision = reading.store_revision if reading is not None else None
+            await EntryDaemon(core, store).run(readers, revision)
+
+    asyncio.run(run())
--- /dev/null
+++ b/src/cranberryhold/platform/first_reading.py
@@ -0,0 +1,66 @@
+"""The first calls of an entry instance to the store, made without an event loop."""
+
+import socket
+import time
+from collections.abc import Callable
+
+import httptools
+import msgspec
+
+from cranberryhold.addresses import Address
+from cranberryhold.flows.http_messages import ResponseParser, encode_request
+from cranberryhold.flows.leased_store import FirstReading
+from cranberryhold.platform.store_messages import RANGE_PATH, Page
+
+# Many times the store's answer on a usual day; the daemon asks again soon after.
+TIMEOUT_S = 0.5
+MAX_BODY_BYTES = 4 << 20
+READ_BYTES = 64 * 1024
+
+
+def read_first(
+    store: Address,
+    configuration_key: str,
+    members_prefix: str,
+    on_error: Callable[[Exception], None],
+) -> FirstReading | None:
+    """Return configuration and members; None, and a call of ``on_error``, on failure.
+
+    Of members that do not fit one page, the first are returned.
+    """
+    deadline = time.monotonic() + TIMEOUT_S
+    try:
+        with socket.create_connection((store.ip, store.port), TIMEOUT_S) as connection:
+            found = _read_page(connection, store, configuration_key, deadline)
+            members = _read_page(connection, store, members_prefix, deadline)
+    except (
+        OSError,
+        EOFError,
+        httptools.HttpParserError,
+        msgspec.MsgspecError,
+    ) as error:
+        on_error(error)
+        return None
+    items = [item.stored() for item in found.items if item.key == configuration_key]
+    return FirstReading(
+        next(iter(items), None),
+        found.store_revision,
+        [item.stored() for item in members.items],
+    )
+
+
+def _read_page(
+    connection: socket.socket, store: Address, prefix: str, deadline: float
+) -> Page:
+    target = f"{RANGE_PATH}?prefix={prefix}"
+    connection.sendall(encode_request(store, "GET", target, b""))
+    parser = ResponseParser(MAX_BODY_BYTES)
+    while not parser.complete:
+        connection.settimeout(max(0.001, deadline - time.monotonic()))
+        data = connection.recv(READ_BYTES)
+        if not data:
+            raise EOFError("connection closed before the end of the response")
+        parser.feed(data)
+    if parser.status != 200:
+        raise EOFError(f"the store answered with status {parser.status}")
+    return msgspec.json.decode(parser.body, type=Page)
--- a/src/cranberryhold/platform/runner.py
+++ b/src/cranberryhold/platform/runner.py
@@ -1,14 +1,10 @@
 """Builds and runs a flow daemon from the platform's settings."""
 
-import asyncio
 import sys
 import time
 
 from cranberryhold.exceptions import CranberryholdError
-from cranberryhold.flows.http_client import http_client
 from cranberryhold.flows.telemetry import NonBlockingOutput, Telemetry
-from cranberryhold.platform.heartbeats import HeartbeatCalls
-from cranberryhold.platform.operator_configuration import OperatorConfiguration
 from cranberryhold.platform.packets import PacketCodec
 from cranberryhold.platform.settings import (
     PlatformSettings,
@@ -16,36 +12,44 @@
     read_settings,
     sidecar_settings,
 )
-from cranberryhold.platform.store import PlatformStore
 
 ROLES = ("entry", "sidecar")
 MAX_STORE_BODY_BYTES = 4 << 20
 
 
-async def _run_entry(settings: PlatformSettings, telemetry: Telemetry) -> None:
-    from cranberryhold.flows.entry_daemon import EntryDaemon
+def _run_entry(settings: PlatformSettings, telemetry: Telemetry) -> None:
+    """Forward packets at once, and load the rest meanwhile."""
+    from cranberryhold.flows.early_forwarding import forward_while_loading
+    from cranberryhold.flows.entry_core import EntryCore
+    from cranberryhold.flows.leased_store import FirstReading
+    from cranberryhold.flows.member_list import PREFIX
+    from cranberryhold.platform.first_reading import read_first
+    from cranberryhold.platform.operator_configuration import OperatorConfiguration
 
     member = member_settings(settings)
-    async with http_client(member.store, MAX_STORE_BODY_BYTES) as client:
-        store = PlatformStore(client, telemetry.count)
-        await EntryDaemon(
-            member, PacketCodec(), store, OperatorConfiguration(), telemetry
-        ).run()
+    source = OperatorConfiguration()
+    core = EntryCore(member, PacketCodec(), source, telemetry)
 
+    def read_store() -> FirstReading | None:
+        def note(error: Exception) -> None:
+            telemetry.event("first-reading-failed", error=error)
 
-async def _run_sidecar(settings: PlatformSettings, telemetry: Telemetry) -> None:
-    from cranberryhold.flows.sidecar_daemon import SidecarDaemon
+        return read_first(member.store, source.key, PREFIX, note)
 
-    sidecar = sidecar_settings(settings)
-    async with http_client(sidecar.member.store, MAX_STORE_BODY_BYTES) as client:
-        store = PlatformStore(client, telemetry.count)
-        await SidecarDaemon(
-            sidecar,
-            PacketCodec(),
-            store,
-            HeartbeatCalls(str(sidecar.target_address)),
-            telemetry,
-        ).run()
+    def load() -> None:
+        from cranberryhold.platform import entry_runner  # noqa: F401 - loads it
+
+    with core.open_sockets() as readers:
+        reading = forward_while_loading(core, readers, read_store, load)
+        from cranberryhold.platform.entry_runner import run_entry
+
+        run_entry(core, readers, reading, MAX_STORE_BODY_BYTES)
+
+
+def _run_sidecar(settings: PlatformSettings, telemetry: Telemetry) -> None:
+    from cranberryhold.platform.sidecar_runner import run_sidecar
+
+    run_sidecar(sidecar_settings(settings), telemetry, MAX_STORE_BODY_BYTES)
 
 
 def main() -> int:
@@ -59,9 +63,9 @@
     try:
         settings = read_settings()
         telemetry = Telemetry(settings.node_name, output, time.monotonic)
-        run = _run_entry if role == "entry" else _run_sidecar
         telemetry.event("started", role=role, zone=settings.zone, ip=settings.ip)
-        asyncio.run(run(settings, telemetry))
+        run = _run_entry if role == "entry" else _run_sidecar
+        run(settings, telemetry)
     except CranberryholdError as error:
         telemetry.event("start-failed", level="ERROR", error=error)
         return 1
--- a/src/cranberryhold/platform/store.py
+++ b/src/cranberryhold/platform/store.py
@@ -1,6 +1,6 @@
 """The platform's metadata store over its HTTP interface."""
 
-from base64 import b64decode, b64encode
+from base64 import b64encode
 from collections.abc import Callable
 from typing import Any, TypeVar
 
@@ -15,12 +15,12 @@
     StoreHistoryLostError,
     Written,
 )
+from cranberryhold.platform.store_messages import RANGE_PATH, Events, Item, Page
 
 # Several times the store's answer on a slow day.
 CALL_TIMEOUT_S = 1.5
 # A waiting call may be answered this much later than asked.
 WATCH_SLACK_S = 1.0
-_RANGE = "/kv-range"
 _WATCH = "/kv-watch"
 _TXN = "/kv-txn"
 _LEASE = "/kv-lease"
@@ -31,33 +31,9 @@
 _T = TypeVar("_T")
 
 
-class _Item(msgspec.Struct):
-    key: str
-    revision: int
-    # Standard base64, or absent in the record of a deletion.
-    value: str = ""
-    deleted: bool = False
-
-    def stored(self) -> StoredItem:
-        return StoredItem(self.key, b64decode(self.value), self.revision)
-
-
-class _Range(msgspec.Struct, rename="camel"):
-    items: list[_Item]
-    # Revision of the whole store at the time of the answer.
-    store_revision: int
-    truncated: bool = False
-
-
-class _Events(msgspec.Struct, rename="camel"):
-    events: list[_Item]
-    # Revision up to which the events are complete.
-    store_revision: int
-
-
 class _Conflict(msgspec.Struct):
     # Present state of the items that the write expected; absent ones are left out.
-    items: list[_Item] = []
+    items: list[Item] = []
 
 
 class _Lease(msgspec.Struct):
@@ -82,8 +58,8 @@
     async def get(self, key: str) -> Reading:
         """Return the present state of an item."""
         # An absent key has no answer that names the store's revision, a list has.
-        status, body = await self._call("GET", _RANGE, {"prefix": key})
-        page = self._decode(status, body, _Range, _RANGE)
+        status, body = await self._call("GET", RANGE_PATH, {"prefix": key})
+        page = self._decode(status, body, Page, RANGE_PATH)
         item = next((item.stored() for item in page.items if item.key == key), None)
         return Reading(item, page.store_revision)
 
@@ -94,8 +70,8 @@
         if may_be_stale:
             query["serializable"] = 1
         while True:
-            status, body = await self._call("GET", _RANGE, query)
-            page = self._decode(status, body, _Range, _RANGE)
+            status, body = await self._call("GET", RANGE_PATH, query)
+            page = self._decode(status, body, Page, RANGE_PATH)
             found += [item.stored() for item in page.items]
             if not page.truncated or not page.items:
                 return found
@@ -113,7 +89,7 @@
             raise StoreHistoryLostError(
                 "the store's history was cut; read the item anew", step=_WATCH
             )
-        answer = self._decode(status, body, _Events, _WATCH)
+        answer = self._decode(status, body, Events, _WATCH)
         newest = [e for e in answer.events if e.key == key and not e.deleted]
         item = newest[-1].stored() if newest else None
         return Reading(item, answer.store_revision)
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -12,7 +12,7 @@
 ROOT = Path(__file__).parent.parent
 PAGES = [
     ROOT / "README.md",
-    *(ROOT / "docs" / name for name in ("operations.md", "callers.md", "limits.md")),
+    *(ROOT / "docs" / name for name in ("OPERATIONS.md", "callers.md", "limits.md")),
 ]
 
 
@@ -50,7 +50,7 @@
 
 def test_events_on_the_operations_page_are_logged_somewhere():
     sources = "".join(p.read_text() for p in (ROOT / "src").rglob("*.py"))
-    table = (ROOT / "docs" / "operations.md").read_text().partition("| event |")[2]
+    table = (ROOT / "docs" / "OPERATIONS.md").read_text().partition("| event |")[2]
     rows = table.partition("\n\n")[0].splitlines()[2:]
     events = [e for row in rows for e in re.findall(r"`([\w-]+)`", row.split("|")[1])]
     missing = [
--- a/tests/test_flow_store.py
+++ b/tests/test_flow_store.py
@@ -14,18 +14,21 @@
 from cranberryhold.addresses import Address
 from cranberryhold.exceptions import StoreError
 from cranberryhold.flows import announcement, configuration
-from cranberryhold.flows.announcement import PREFIX, Announcer, MemberEntry
+from cranberryhold.flows.adoption import Adopter
+from cranberryhold.flows.announcement import Announcer
 from cranberryhold.flows.configuration import (
     PEER_PATH,
     Backoff,
     ConfigurationFollower,
 )
+from cranberryhold.flows.dependency import Dependency
 from cranberryhold.flows.http_client import http_client
 from cranberryhold.flows.http_server import Response, serving_http
 from cranberryhold.flows.leased_store import (
     LeaseLostError,
     StoreHistoryLostError,
 )
+from cranberryhold.flows.member_list import PREFIX, MemberEntry
 from cranberryhold.flows.route_table import RouteTable
 from cranberryhold.flows.telemetry import Telemetry
 from cranberryhold.platform import store as platform_store
@@ -149,15 +152,20 @@
     @asynccontextmanager
     async def following(self, store, on_change=lambda: None):
         routes, counted = RouteTable(60.0), telemetry()
-        follower = ConfigurationFollower(
+        adopter = Adopter(
             OperatorConfiguration(),
-            store,
             routes,
             counted,
-            random=Random(1),
             monotonic=lambda: 0.0,
             on_change=on_change,
         )
+        follower = ConfigurationFollower(
+            adopter,
+            store,
+            counted,
+            dependency=Dependency("store", counted, lambda: 0.0),
+            random=Random(1),
+        )
         task = asyncio.create_task(follower.run())
         try:
             yield follower, routes, counted
@@ -276,6 +284,7 @@
             MemberEntry("sidecar", "a", 7),
             store,
             counted,
+            dependency=Dependency("store", counted, lambda: 0.0),
             random=Random(1),
             on_members=heard.append,
         )
