Reload settings on SIGHUP and when the file changes

SIGHUP ended a daemon, as nothing handled it. A lease is known before the entry is written under it, so that a daemon that ends just then can withdraw it: found by test_a_member_that_ends_withdraws_its_entry, which failed one time in twelve. The stand-in of the store cuts watches whose history is lost, as the protocol says; before, test_the_item_is_read_anew_when_the_history_is_lost missed a change at times.

--- a/emulator/metadata_store.py
+++ b/emulator/metadata_store.py
@@ -143,6 +143,8 @@
         events: list[dict[str, object]] = []
 
         def arrived() -> bool:
+            if after < self._oldest:
+                return True
             events[:] = [
                 event
                 for event in self._history
@@ -157,6 +159,8 @@
         except TimeoutError:
             # An answer without events is the regular end of a wait.
             pass
+        if after < self._oldest:
+            return Response(410)
         return self._answer(events=events, storeRevision=self._revision)
 
     async def _transaction(
--- a/src/cranberryhold/flows/announcement.py
+++ b/src/cranberryhold/flows/announcement.py
@@ -60,6 +60,7 @@
         self._on_members = on_members
         self._dependency = dependency
         self._lease: int | None = None
+        self._written = False
         self._revision = 0
 
     async def run(self) -> None:
@@ -97,12 +98,14 @@
             self._telemetry.event("entry-not-withdrawn", key=self._key, error=error)
 
     async def _hold(self) -> None:
-        if self._lease is not None:
+        if self._lease is None:
+            self._written = False
+            self._lease = await self._store.grant_lease(LEASE_TTL_S)
+        if self._written:
             await self._store.renew_lease(self._lease)
-            return
-        lease = await self._store.grant_lease(LEASE_TTL_S)
-        await self._write(lease)
-        self._lease = lease
+        else:
+            await self._write(self._lease)
+            self._written = True
 
     async def _write(self, lease: int) -> None:
         """Write the entry, whatever was there before."""
--- a/src/cranberryhold/flows/entry_core.py
+++ b/src/cranberryhold/flows/entry_core.py
@@ -4,6 +4,8 @@
 from collections.abc import Callable, Iterator, Mapping
 from contextlib import ExitStack, contextmanager
 
+from msgspec import structs
+
 from cranberryhold.addresses import Address
 from cranberryhold.flows.adoption import Adopter, ConfigurationSource
 from cranberryhold.flows.entry_path import EntryPath
@@ -102,9 +104,20 @@
             )
             self._packets = packets
             self._member.attach(messages, self._take_message)
-            self._member.note_seeds()
+            self._member.note_seeds(self._settings.seeds)
             yield [(packets, self._take_packet), (messages, self._member.receive)]
 
+    def apply_settings(self, settings: MemberSettings) -> None:
+        """Take changed settings; addresses of open sockets stay as they are."""
+        self._settings = structs.replace(
+            self._settings,
+            store=settings.store,
+            seeds=settings.seeds,
+            stop_limit_s=settings.stop_limit_s,
+            max_flow_s=settings.max_flow_s,
+        )
+        self._member.note_seeds(settings.seeds)
+
     def on_newer_version(self, fetch: Callable[[Address, int], None]) -> None:
         """Set what is called with a peer that has a newer configuration."""
         self._on_newer = fetch
--- a/src/cranberryhold/flows/entry_daemon.py
+++ b/src/cranberryhold/flows/entry_daemon.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from collections.abc import Callable
 
 from cranberryhold.addresses import Address
 from cranberryhold.flows.configuration import PEER_PATH, ConfigurationFollower
@@ -16,6 +17,8 @@
     sweep_regularly,
 )
 from cranberryhold.flows.peers import ENTRY_STATUS_INTERVAL_S, status_interval_s
+from cranberryhold.flows.settings import FIXED_SETTINGS, MemberSettings
+from cranberryhold.flows.settings_watch import SettingsWatch
 
 # The fabric stops sending after two missed probes, half a second apart; the rest
 # covers packets on their way.
@@ -32,10 +35,27 @@
 
     :param core: state and reactions of the instance.
     :param store: the store.
+    :param read_settings: reads the settings anew.
+    :param on_settings: called with changed settings.
     """
 
-    def __init__(self, core: EntryCore, store: LeasedStore) -> None:
+    def __init__(
+        self,
+        core: EntryCore,
+        store: LeasedStore,
+        *,
+        read_settings: Callable[[], MemberSettings],
+        on_settings: Callable[[MemberSettings], None],
+    ) -> None:
         self._core = core
+        self._on_settings = on_settings
+        self._settings_watch = SettingsWatch(
+            core.settings,
+            read_settings,
+            self._apply_settings,
+            fixed=FIXED_SETTINGS,
+            telemetry=core.telemetry,
+        )
         self._settings = core.settings
         self._telemetry = core.telemetry
         self._member = core.member
@@ -89,6 +109,7 @@
                     self._announcer.run(),
                     self._tell_status(),
                     sweep_regularly(self._member.sweep, self._core.sweep),
+                    self._settings_watch.run(),
                 )
             ]
             await self._stop.wait()
@@ -97,6 +118,10 @@
             for task in running:
                 task.cancel()
 
+    def _apply_settings(self, settings: MemberSettings) -> None:
+        self._core.apply_settings(settings)
+        self._on_settings(settings)
+
     def _fetch(self, peer: Address, version: int) -> None:
         task = asyncio.create_task(self._follower.fetch_from(peer, version))
         self._fetches.add(task)
@@ -115,7 +140,9 @@
 
     async def _leave_rotation(self) -> None:
         """Report unready once the zone can do without, and forward until then."""
-        waits_s = self._settings.stop_limit_s - FORWARD_AFTER_UNREADY_S - STOP_MARGIN_S
+        waits_s = (
+            self._core.settings.stop_limit_s - FORWARD_AFTER_UNREADY_S - STOP_MARGIN_S
+        )
         polls = max(0, int(waits_s / ROTATION_POLL_S))
         for _ in range(polls):
             if self._member.peers.rotation().bears_one_less():
--- a/src/cranberryhold/flows/http_client.py
+++ b/src/cranberryhold/flows/http_client.py
@@ -65,6 +65,12 @@
             if link is not None:
                 link.writer.transport.abort()
 
+    def move_to(self, address: Address) -> None:
+        """Call another server from now on."""
+        if address != self._address:
+            self._address = address
+            self.close()
+
     def close(self) -> None:
         """Close the idle connection."""
         if self._idle is not None:
--- a/src/cranberryhold/flows/member.py
+++ b/src/cranberryhold/flows/member.py
@@ -5,6 +5,7 @@
 from random import Random
 from socket import inet_aton, inet_ntoa
 
+from cranberryhold.addresses import Address
 from cranberryhold.flows.member_list import ListedMembers
 from cranberryhold.flows.peer_messages import (
     Leaving,
@@ -112,9 +113,9 @@
         )
         self.send(ip, self._peers.list_for_newcomer())
 
-    def note_seeds(self) -> None:
+    def note_seeds(self, seeds: Iterable[Address]) -> None:
         """Count the seeds of the settings as members that may exist."""
-        self._peers.note_listed([inet_aton(s.ip) for s in self._settings.seeds], ())
+        self._peers.note_listed([inet_aton(seed.ip) for seed in seeds], ())
 
     def leave(self, flows: int) -> None:
         """Tell the other members that this process ends.
--- a/src/cranberryhold/flows/settings.py
+++ b/src/cranberryhold/flows/settings.py
@@ -4,6 +4,9 @@
 
 from cranberryhold.addresses import Address
 
+FIXED_SETTINGS = ("name", "zone", "packet_", "peer_", "ready_", "metrics_")
+"""First parts of the names of member settings that need a restart to change."""
+
 
 class MemberSettings(Struct, frozen=True):
     """What every flow daemon needs.
@@ -55,3 +58,12 @@
     service: str
     heartbeat_interval_s: float
     address_reuse_s: float
+
+
+FIXED_SIDECAR_SETTINGS = (
+    *(f"member.{name}" for name in FIXED_SETTINGS),
+    "outbound_",
+    "heartbeat_address",
+    "target_",
+)
+"""The same for the settings of a sidecar."""
--- a/src/cranberryhold/flows/sidecar_daemon.py
+++ b/src/cranberryhold/flows/sidecar_daemon.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import time
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from contextlib import ExitStack
 from socket import inet_aton
 from typing import Protocol
@@ -26,7 +26,8 @@
 )
 from cranberryhold.flows.peers import SIDECAR_STATUS_INTERVAL_S, status_interval_s
 from cranberryhold.flows.segments import SegmentCodec
-from cranberryhold.flows.settings import FlowSidecarSettings
+from cranberryhold.flows.settings import FIXED_SIDECAR_SETTINGS, FlowSidecarSettings
+from cranberryhold.flows.settings_watch import SettingsWatch
 from cranberryhold.flows.sidecar_path import SidecarPath
 from cranberryhold.flows.target_presence import target_listens
 from cranberryhold.flows.target_state import BeatOutcome, Heartbeat, TargetState
@@ -60,6 +61,8 @@
     :param store: the store.
     :param heartbeats: reads the target's calls.
     :param telemetry: log and counters.
+    :param read_settings: reads the settings anew.
+    :param on_settings: called with changed settings.
     """
 
     def __init__(
@@ -69,7 +72,18 @@
         store: LeasedStore,
         heartbeats: HeartbeatReader,
         telemetry: Telemetry,
+        *,
+        read_settings: Callable[[], FlowSidecarSettings],
+        on_settings: Callable[[FlowSidecarSettings], None],
     ) -> None:
+        self._on_settings = on_settings
+        self._settings_watch = SettingsWatch(
+            settings,
+            read_settings,
+            self._apply_settings,
+            fixed=FIXED_SIDECAR_SETTINGS,
+            telemetry=telemetry,
+        )
         self._settings = settings
         self._telemetry = telemetry
         self._heartbeats = heartbeats
@@ -125,7 +139,7 @@
             ):
                 loop.add_reader(socket.fileno(), socket.read, take)
                 stack.callback(loop.remove_reader, socket.fileno())
-            self._member.note_seeds()
+            self._member.note_seeds(member.seeds)
             async with (
                 serving_http(
                     self._settings.heartbeat_address,
@@ -147,6 +161,7 @@
                         self._announcer.run(),
                         self._tell_status(),
                         self._check_presence(),
+                        self._settings_watch.run(),
                         sweep_regularly(self._member.sweep, self._path.sweep),
                     )
                 ]
@@ -177,6 +192,11 @@
         """Send a message to a member."""
         self._member.send(ip, message)
 
+    def _apply_settings(self, settings: FlowSidecarSettings) -> None:
+        self._target.set_times(settings.heartbeat_interval_s, settings.address_reuse_s)
+        self._member.note_seeds(settings.member.seeds)
+        self._on_settings(settings)
+
     def _send_packet(self, packet: bytes, ip: bytes) -> None:
         if self._packets is not None:
             port = self._settings.member.packet_address.port
--- a/src/cranberryhold/flows/target_state.py
+++ b/src/cranberryhold/flows/target_state.py
@@ -63,7 +63,8 @@
     """
 
     def __init__(self, heartbeat_interval_s: float, address_reuse_s: float) -> None:
-        self._fresh_s = min(heartbeat_interval_s * _MISSED_INTERVALS, address_reuse_s)
+        self._fresh_s = 0.0
+        self.set_times(heartbeat_interval_s, address_reuse_s)
         self._last: Heartbeat | None = None
         self._heard_at = 0.0
         self._cold_until = 0.0
@@ -91,6 +92,10 @@
         """Requests that the target works on at a time, at least 1."""
         return max(1, self._last.slots) if self._last else 1
 
+    def set_times(self, heartbeat_interval_s: float, address_reuse_s: float) -> None:
+        """Take changed settings."""
+        self._fresh_s = min(heartbeat_interval_s * _MISSED_INTERVALS, address_reuse_s)
+
     def age_s(self, now: float) -> float:
         """Return seconds since the newest heartbeat."""
         return now - self._heard_at
--- a/src/cranberryhold/platform/entry_runner.py
+++ b/src/cranberryhold/platform/entry_runner.py
@@ -6,6 +6,7 @@
 from cranberryhold.flows.entry_daemon import EntryDaemon
 from cranberryhold.flows.http_client import http_client
 from cranberryhold.flows.leased_store import FirstReading
+from cranberryhold.platform.settings import member_settings, read_settings
 from cranberryhold.platform.store import PlatformStore
 
 
@@ -20,7 +21,13 @@
     async def run() -> None:
         async with http_client(core.settings.store, max_store_body_bytes) as client:
             store = PlatformStore(client, core.telemetry.count)
+            daemon = EntryDaemon(
+                core,
+                store,
+                read_settings=lambda: member_settings(read_settings()),
+                on_settings=lambda settings: client.move_to(settings.store),
+            )
             revision = reading.store_revision if reading is not None else None
-            await EntryDaemon(core, store).run(readers, revision)
+            await daemon.run(readers, revision)
 
     asyncio.run(run())
--- a/src/cranberryhold/platform/runner.py
+++ b/src/cranberryhold/platform/runner.py
@@ -1,5 +1,6 @@
 """Builds and runs a flow daemon from the platform's settings."""
 
+import signal
 import sys
 import time
 
@@ -58,6 +59,8 @@
     if role not in ROLES:
         sys.stderr.write(f"usage: python -m cranberryhold.platform {'|'.join(ROLES)}\n")
         return 2
+    # Settings are read at the start anyway; the daemon handles the signal later.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     output = NonBlockingOutput(sys.stdout.fileno())
     telemetry = Telemetry(role, output, time.monotonic)
     try:
--- a/src/cranberryhold/platform/sidecar_runner.py
+++ b/src/cranberryhold/platform/sidecar_runner.py
@@ -8,6 +8,7 @@
 from cranberryhold.flows.telemetry import Telemetry
 from cranberryhold.platform.heartbeats import HeartbeatCalls
 from cranberryhold.platform.packets import PacketCodec
+from cranberryhold.platform.settings import read_settings, sidecar_settings
 from cranberryhold.platform.store import PlatformStore
 
 
@@ -22,7 +23,13 @@
             store = PlatformStore(client, telemetry.count)
             heartbeats = HeartbeatCalls(str(settings.target_address))
             daemon = SidecarDaemon(
-                settings, PacketCodec(), store, heartbeats, telemetry
+                settings,
+                PacketCodec(),
+                store,
+                heartbeats,
+                telemetry,
+                read_settings=lambda: sidecar_settings(read_settings()),
+                on_settings=lambda settings: client.move_to(settings.member.store),
             )
             await daemon.run()
 
