--- a/src/cranberryhold/cli.py
+++ b/src/cranberryhold/cli.py
@@ -76,6 +76,17 @@
     Option("insecure", "accept any certificate", as_switch, default="0"),
 )
 
+EXPLAIN_OPTIONS = (
+    Option(
+        "context",
+        "seconds before and after the flow for which its instances' other events are"
+        " shown",
+        as_seconds,
+        default="3",
+        metavar="SECONDS",
+    ),
+)
+
 
 @dataclass(frozen=True, slots=True)
 class Command:
@@ -123,6 +134,25 @@
     return await run_call(argparse.Namespace(deadline_s=deadline_s, **arguments))
 
 
+async def _run_explain(values: Values) -> int:
+    from cranberryhold.explain import explain, read_logs
+
+    found = explain(read_logs(values["logs"]), values["flow"], values["context"])
+    for line in found:
+        print(line)
+    if not found:
+        print(f"no line names the flow {values['flow']}", file=sys.stderr)
+        return ExitCode.FAILED
+    return ExitCode.DONE
+
+
+def _explain_arguments(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument(
+        "flow", help="a flow as logs show it, or its caller's address and port"
+    )
+    parser.add_argument("logs", nargs="+", help="log files of the processes")
+
+
 async def _run_version(values: Values) -> int:
     try:
         print(version("cranberryhold"))
@@ -184,6 +214,13 @@
     Command("manifest schema", "print the JSON Schema of a manifest", schema),
     Command("dump", "print the state of a member as JSON", _run_dump, DUMP_OPTIONS),
     Command("call", "send one request", _run_call, CALL_OPTIONS, _call_arguments),
+    Command(
+        "explain",
+        "print what logs tell of a flow",
+        _run_explain,
+        EXPLAIN_OPTIONS,
+        _explain_arguments,
+    ),
     Command("version", "print the version", _run_version),
 )
 
