Open a sidecar's sockets first, and search sidecars that wait for a heartbeat

After all processes were killed, packets of open flows were discarded for up to 0.15 s because the sidecars, not yet heard by their targets, named no service. They are searched now, and before the first configuration all sidecars are. A sidecar's sockets open before asyncio is loaded, so packets wait there.

Tried and reverted: forwarding in a sidecar while asyncio is loaded in a thread. It delays the first heartbeat, without which a target gets no new flow.

--- a/src/cranberryhold/flows/early_forwarding.py
+++ b/src/cranberryhold/flows/early_forwarding.py
@@ -1,4 +1,4 @@
-"""Forwards packets while the rest of an entry instance is still being loaded.
+"""Forwards packets while the rest of a daemon is still being loaded.
 
 On a frontend's share of a core, loading asyncio and what builds on it takes several
 tenths of a second, during which open flows would stand still after a restart.
@@ -8,26 +8,39 @@
 from collections.abc import Callable
 from queue import Empty, SimpleQueue
 from threading import Event, Thread
+from typing import Protocol
 
-from cranberryhold.flows.entry_core import EntryCore, Reader
 from cranberryhold.flows.leased_store import FirstReading
-from cranberryhold.flows.member_list import read_members
+from cranberryhold.flows.udp import UdpSocket
 
 # Longest until what the loading thread has read is put into effect.
 POLL_S = 0.02
 # The same under a load of packets.
 ADOPTED_WITHIN_S = 0.5
 
+Reader = tuple[UdpSocket, Callable[[bytes, bytes], None]]
+"""An open socket, and what takes its datagrams with their senders' packed IPv4."""
+
+
+class Core(Protocol):
+    """A daemon's state and reactions."""
+
+    def take_first_reading(self, reading: FirstReading) -> None:
+        """Take what the store holds at the start."""
+
+    def tell_status(self) -> int:
+        """Tell the other members of this one; return how many."""
+
 
 def forward_while_loading(
-    core: EntryCore,
+    core: Core,
     readers: list[Reader],
     read_store: Callable[[], FirstReading | None],
     load: Callable[[], None],
 ) -> FirstReading | None:
     """Forward packets until ``load`` has returned in a thread of its own.
 
-    :param core: state and reactions of the instance; used by this thread only.
+    :param core: state and reactions of the daemon; used by this thread only.
     :param readers: open sockets and what takes their datagrams.
     :param read_store: reads configuration and members, waiting for the answers.
     :param load: imports the rest of the program.
@@ -56,14 +69,7 @@
         except Empty:
             continue
         if reading is not None:
-            _adopt(core, reading)
+            core.take_first_reading(reading)
+            core.tell_status()
         adopted.set()
     return reading
-
-
-def _adopt(core: EntryCore, reading: FirstReading) -> None:
-    core.member.note_listed(read_members(reading.members, core.telemetry))
-    if reading.configuration is not None:
-        item = reading.configuration
-        core.adopter.adopt(item.value, source="store", revision=item.revision)
-    core.tell_status()
--- a/src/cranberryhold/flows/entry_core.py
+++ b/src/cranberryhold/flows/entry_core.py
@@ -8,8 +8,11 @@
 
 from cranberryhold.addresses import Address
 from cranberryhold.flows.adoption import Adopter, ConfigurationSource
+from cranberryhold.flows.early_forwarding import Reader
 from cranberryhold.flows.entry_path import EntryPath
+from cranberryhold.flows.leased_store import FirstReading
 from cranberryhold.flows.member import Member
+from cranberryhold.flows.member_list import read_members
 from cranberryhold.flows.peer_messages import (
     EntryStatus,
     FlowHeld,
@@ -27,8 +30,6 @@
 LEARN_TARGETS_S = 1.0
 DEFAULT_IDLE_S = 60.0
 
-Reader = tuple[UdpSocket, Callable[[bytes, bytes], None]]
-
 
 class EntryCore:
     """The state of an entry instance, and its reactions.
@@ -107,6 +108,13 @@
             self._member.note_seeds(self._settings.seeds)
             yield [(packets, self._take_packet), (messages, self._member.receive)]
 
+    def take_first_reading(self, reading: FirstReading) -> None:
+        """Take what the store holds at the start."""
+        self._member.note_listed(read_members(reading.members, self._telemetry))
+        if reading.configuration is not None:
+            item = reading.configuration
+            self._adopter.adopt(item.value, source="store", revision=item.revision)
+
     def apply_settings(self, settings: MemberSettings) -> None:
         """Take changed settings; addresses of open sockets stay as they are."""
         self._settings = structs.replace(
--- a/src/cranberryhold/flows/entry_daemon.py
+++ b/src/cranberryhold/flows/entry_daemon.py
@@ -7,12 +7,14 @@
 from cranberryhold.addresses import Address
 from cranberryhold.flows.configuration import PEER_PATH, ConfigurationFollower
 from cranberryhold.flows.dependency import Dependency
-from cranberryhold.flows.entry_core import EntryCore, Reader
+from cranberryhold.flows.early_forwarding import Reader
+from cranberryhold.flows.entry_core import EntryCore
 from cranberryhold.flows.http_server import Request, Response
 from cranberryhold.flows.leased_store import LeasedStore
 from cranberryhold.flows.member_daemon import (
     StopSignal,
     announcer_of,
+    reading_sockets,
     serving_member_http,
     sweep_regularly,
 )
@@ -82,14 +84,8 @@
         """
         self._stop.install()
         self._core.on_newer_version(self._fetch)
-        loop = asyncio.get_running_loop()
-        for socket, take in readers:
-            loop.add_reader(socket.fileno(), socket.read, take)
-        try:
+        async with reading_sockets(readers):
             await self._serve(store_revision)
-        finally:
-            for socket, _ in readers:
-                loop.remove_reader(socket.fileno())
 
     async def _serve(self, store_revision: int | None) -> None:
         async with (
--- a/src/cranberryhold/flows/entry_path.py
+++ b/src/cranberryhold/flows/entry_path.py
@@ -142,16 +142,21 @@
                 self._telemetry.count("packets_direct")
                 self._send(Purpose.DIRECT, NO_SERVICE, (holder,), packet)
                 return
-        services = self._routes.services_of_open_flow(
-            segment.destination, segment.destination_port, now
-        )
-        candidates = self._peers.candidates_for_search(key, services)
+        # Before the first configuration, any sidecar may hold the flow.
+        services = None
+        if self._routes.version:
+            services = self._routes.services_of_open_flow(
+                segment.destination, segment.destination_port, now
+            )
+        candidates = []
+        if services != []:
+            candidates = self._peers.candidates_for_search(key, services)
         if not candidates:
             self._telemetry.count("packets_discarded")
             self._telemetry.flow_event(
                 "packet-discarded",
                 flow=flow_text(key),
-                reason="no-target" if services else "no-route",
+                reason="no-route" if services == [] else "no-target",
                 version=self._routes.version,
             )
             return
--- a/src/cranberryhold/flows/member_daemon.py
+++ b/src/cranberryhold/flows/member_daemon.py
@@ -2,13 +2,13 @@
 
 import asyncio
 import signal
-import time
 from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
 from contextlib import AsyncExitStack, asynccontextmanager
 
 from cranberryhold.addresses import Address
 from cranberryhold.flows.announcement import Announcer
 from cranberryhold.flows.dependency import Dependency
+from cranberryhold.flows.early_forwarding import Reader
 from cranberryhold.flows.http_server import Request, Response, serving_http
 from cranberryhold.flows.leased_store import LeasedStore
 from cranberryhold.flows.member import Member
@@ -22,9 +22,17 @@
 READY_PATH = "/readyz"
 
 
-def boot_time() -> float:
-    """Return seconds of a clock that also counts while the instance is suspended."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
+@asynccontextmanager
+async def reading_sockets(readers: list[Reader]) -> AsyncIterator[None]:
+    """Hand the datagrams of open sockets on inside the context."""
+    loop = asyncio.get_running_loop()
+    for socket, take in readers:
+        loop.add_reader(socket.fileno(), socket.read, take)
+    try:
+        yield
+    finally:
+        for socket, _ in readers:
+            loop.remove_reader(socket.fileno())
 
 
 def announcer_of(
--- a/src/cranberryhold/flows/peers.py
+++ b/src/cranberryhold/flows/peers.py
@@ -280,17 +280,32 @@
             accepting = self._nearest(key, accepting, OPEN_CANDIDATES)
         return sorted(accepting, key=lambda peer: peer.cost(self._zone))
 
-    def candidates_for_search(self, key: bytes, services: list[bytes]) -> list[bytes]:
-        """Return the sidecars to ask for a flow, the likeliest first."""
-        found = [peer for peer in self._reachable() if peer.status.service in services]
+    def candidates_for_search(
+        self, key: bytes, services: list[bytes] | None
+    ) -> list[bytes]:
+        """Return the sidecars to ask for a flow, the likeliest first.
+
+        A sidecar that has not heard its target yet may hold any flow.
+
+        :param services: tags of the services where the flow may be; None for all.
+        """
+        found = [
+            peer
+            for peer in self._reachable()
+            if services is None or peer.status.service in (*services, NO_SERVICE)
+        ]
         return [peer.ip for peer in self._nearest(key, found, MAX_CANDIDATES)]
 
-    def search_is_complete(self, services: list[bytes], candidates: int) -> bool:
+    def search_is_complete(self, services: list[bytes] | None, candidates: int) -> bool:
         """Whether the candidates of a search are all that may hold the flow."""
         now = self._monotonic()
-        if not self._listed_all(now) or any(
-            now - since < LISTED_ANSWERS_WITHIN_S
-            for since in self._listed_sidecars.values()
+        if (
+            services is None
+            or not self._listed_all(now)
+            or any(
+                now - since < LISTED_ANSWERS_WITHIN_S
+                for since in self._listed_sidecars.values()
+            )
         ):
             return False
         holders = [
@@ -300,8 +315,7 @@
             and peer.status.service in (*services, NO_SERVICE)
         ]
         return len(holders) == candidates and all(
-            self.is_heard(peer.ip) and peer.status.service in services
-            for peer in holders
+            self.is_heard(peer.ip) for peer in holders
         )
 
     def _listed_all(self, now: float) -> bool:
--- a/src/cranberryhold/flows/target_state.py
+++ b/src/cranberryhold/flows/target_state.py
@@ -1,6 +1,7 @@
 """What a sidecar believes of the target beside it, from the target's heartbeats."""
 
 from enum import Enum
+from math import inf
 
 from msgspec import Struct
 
@@ -97,8 +98,8 @@
         self._fresh_s = min(heartbeat_interval_s * _MISSED_INTERVALS, address_reuse_s)
 
     def age_s(self, now: float) -> float:
-        """Return seconds since the newest heartbeat."""
-        return now - self._heard_at
+        """Return seconds since the newest heartbeat, infinity before the first."""
+        return now - self._heard_at if self._last is not None else inf
 
     def accepts_flows(self, now: float) -> bool:
         """Whether new flows may be offered to the target."""
@@ -112,7 +113,7 @@
 
     def is_overdue(self, now: float) -> bool:
         """Whether there is no target that was heard within the usual time."""
-        return self._last is None or self.age_s(now) > self._fresh_s
+        return self.age_s(now) > self._fresh_s
 
     def is_cold(self, now: float) -> bool:
         """Whether the target still is slow after its start."""
--- a/src/cranberryhold/platform/entry_runner.py
+++ b/src/cranberryhold/platform/entry_runner.py
@@ -2,7 +2,8 @@
 
 import asyncio
 
-from cranberryhold.flows.entry_core import EntryCore, Reader
+from cranberryhold.flows.early_forwarding import Reader
+from cranberryhold.flows.entry_core import EntryCore
 from cranberryhold.flows.entry_daemon import EntryDaemon
 from cranberryhold.flows.http_client import http_client
 from cranberryhold.flows.leased_store import FirstReading
--- a/src/cranberryhold/platform/runner.py
+++ b/src/cranberryhold/platform/runner.py
@@ -1,11 +1,22 @@
-"""Builds and runs a flow daemon from the platform's settings."""
+"""Builds and runs a flow daemon from the platform's settings.
+
+Sockets are opened first. An entry daemon forwards packets while a thread imports what
+needs asyncio.
+"""
 
 import signal
 import sys
 import time
+from collections.abc import Callable
 
+from cranberryhold.addresses import Address
 from cranberryhold.exceptions import CranberryholdError
+from cranberryhold.flows.early_forwarding import forward_while_loading
+from cranberryhold.flows.leased_store import FirstReading
+from cranberryhold.flows.member_list import PREFIX
 from cranberryhold.flows.telemetry import NonBlockingOutput, Telemetry
+from cranberryhold.platform.first_reading import read_first
+from cranberryhold.platform.operator_configuration import OperatorConfiguration
 from cranberryhold.platform.packets import PacketCodec
 from cranberryhold.platform.settings import (
     PlatformSettings,
@@ -19,38 +30,42 @@
 
 
 def _run_entry(settings: PlatformSettings, telemetry: Telemetry) -> None:
-    """Forward packets at once, and load the rest meanwhile."""
-    from cranberryhold.flows.early_forwarding import forward_while_loading
     from cranberryhold.flows.entry_core import EntryCore
-    from cranberryhold.flows.leased_store import FirstReading
-    from cranberryhold.flows.member_list import PREFIX
-    from cranberryhold.platform.first_reading import read_first
-    from cranberryhold.platform.operator_configuration import OperatorConfiguration
 
-    member = member_settings(settings)
     source = OperatorConfiguration()
-    core = EntryCore(member, PacketCodec(), source, telemetry)
-
-    def read_store() -> FirstReading | None:
-        def note(error: Exception) -> None:
-            telemetry.event("first-reading-failed", error=error)
-
-        return read_first(member.store, source.key, PREFIX, note)
+    core = EntryCore(member_settings(settings), PacketCodec(), source, telemetry)
 
     def load() -> None:
         from cranberryhold.platform import entry_runner  # noqa: F401 - loads it
 
     with core.open_sockets() as readers:
-        reading = forward_while_loading(core, readers, read_store, load)
+        reading = forward_while_loading(
+            core, readers, _first_reading(core.settings.store, telemetry), load
+        )
         from cranberryhold.platform.entry_runner import run_entry
 
         run_entry(core, readers, reading, MAX_STORE_BODY_BYTES)
 
 
 def _run_sidecar(settings: PlatformSettings, telemetry: Telemetry) -> None:
-    from cranberryhold.platform.sidecar_runner import run_sidecar
+    from cranberryhold.flows.sidecar_core import SidecarCore
+
+    core = SidecarCore(sidecar_settings(settings), PacketCodec(), telemetry)
+    # Packets wait in the sockets meanwhile. Forwarding them now would delay the
+    # first heartbeat, without which the target gets no new flow.
+    with core.open_sockets() as readers:
+        from cranberryhold.platform.sidecar_runner import run_sidecar
+
+        run_sidecar(core, readers, MAX_STORE_BODY_BYTES)
+
+
+def _first_reading(
+    store: Address, telemetry: Telemetry
+) -> Callable[[], FirstReading | None]:
+    def note(error: Exception) -> None:
+        telemetry.event("first-reading-failed", error=error)
 
-    run_sidecar(sidecar_settings(settings), telemetry, MAX_STORE_BODY_BYTES)
+    return lambda: read_first(store, OperatorConfiguration().key, PREFIX, note)
 
 
 def main() -> int:
--- a/tests/flow_world.py
+++ b/tests/flow_world.py
@@ -192,9 +192,10 @@
     def telemetry(self, name):
         return Telemetry(name, self.lines, self.clock)
 
-    def start_entry(self, ip, zone="a"):
+    def start_entry(self, ip, zone="a", configured=True):
         routes = RouteTable(MAX_FLOW_S)
-        routes.adopt(configuration(), self.clock())
+        if configured:
+            routes.adopt(configuration(), self.clock())
         peers = Peers(ip, zone, self.clock)
         self.routes[ip], self.peers[ip] = routes, peers
         self.entries[ip] = EntryPath(
--- a/tests/test_flow_paths.py
+++ b/tests/test_flow_paths.py
@@ -249,6 +249,40 @@
     assert world.holder(new) == SECOND
 
 
+def test_open_flows_go_on_before_a_restarted_sidecar_has_heard_its_target():
+    world = FlowWorld(sidecars=3)
+    callers = [Caller(world, port=40000 + n) for n in range(10)]
+    for caller in callers:
+        caller.open()
+    for ip in world.sidecars:
+        world.start_sidecar(ip)
+    fresh = world.start_entry(inet_aton("10.0.0.9"))
+    world.tell()
+    assert all(caller.ask(entry=fresh) is True for caller in callers)
+
+
+def test_open_flows_go_on_before_the_first_configuration():
+    world = FlowWorld(sidecars=3)
+    caller = Caller(world)
+    caller.open()
+    fresh = world.start_entry(inet_aton("10.0.0.9"), configured=False)
+    world.tell()
+    assert caller.ask(entry=fresh) is True
+    lost = Caller(world, port=40002)
+    lost.next = 1
+    assert lost.ask(entry=fresh) is False
+
+
+def test_packets_of_a_removed_route_go_nowhere():
+    world = FlowWorld(sidecars=1)
+    caller = Caller(world)
+    caller.open()
+    fresh = world.start_entry(inet_aton("10.0.0.9"))
+    world.tell()
+    world.routes[fresh].adopt(configuration(version=2, port=80), world.clock())
+    assert caller.ask(entry=fresh) is False
+
+
 def test_a_new_flow_to_a_removed_route_gets_no_answer():
     world = FlowWorld(sidecars=1)
     for routes in world.routes.values():
