--- /dev/null
+++ b/tests/flow_site.py
@@ -0,0 +1,245 @@
+"""Flow daemons on loopback, with a stand-in store, targets and callers."""
+
+import asyncio
+import json
+import os
+from collections.abc import AsyncIterator, Callable
+from contextlib import AsyncExitStack, asynccontextmanager
+from ipaddress import IPv4Address
+from socket import inet_aton
+
+from cranberryhold.addresses import Address
+from cranberryhold.flows.entry_core import EntryCore
+from cranberryhold.flows.entry_daemon import EntryDaemon
+from cranberryhold.flows.http_client import http_client
+from cranberryhold.flows.settings import FlowSidecarSettings, MemberSettings
+from cranberryhold.flows.sidecar_core import SidecarCore
+from cranberryhold.flows.sidecar_daemon import SidecarDaemon
+from cranberryhold.flows.telemetry import Telemetry
+from cranberryhold.platform.heartbeats import HeartbeatCalls
+from cranberryhold.platform.operator_configuration import OperatorConfiguration
+from cranberryhold.platform.packets import PacketCodec
+from cranberryhold.platform.store import PlatformStore
+from emulator.metadata_store import MetadataStore, metadata_store
+from tests.flow_world import ACK, SYN, Lines, packet
+from tests.sockets import Peer, free_ports
+
+CONFIGURATION = json.dumps(
+    {
+        "version": 1,
+        "routes": [
+            {"name": "r", "host": "198.18.0.1", "prefix": "/443/", "service": "core"}
+        ],
+        "services": [{"name": "core"}],
+    }
+).encode()
+# Room for a few test processes beside each other; ports are the same on all machines.
+_BASE = int(IPv4Address("127.80.0.0")) + (os.getpid() % 4000) * 16
+
+
+def machine_ip(number: int) -> str:
+    """Return the loopback address of one of the site's machines."""
+    return str(IPv4Address(_BASE + number))
+
+
+class Target:
+    """Answers each request with the same bytes."""
+
+    def __init__(self, ip: str, outbound_port: int) -> None:
+        self._peer = Peer(ip)
+        self._outbound = Address(ip, outbound_port)
+        self._codec = PacketCodec()
+        self.requests = 0
+
+    @property
+    def address(self) -> Address:
+        """Where it receives packets."""
+        return self._peer.address
+
+    async def run(self) -> None:
+        """Serve until cancelled."""
+        loop = asyncio.get_running_loop()
+        while True:
+            data = await loop.sock_recv(self._peer.socket, 2048)
+            segment = self._codec.decode(data)
+            if segment.opens:
+                flags, sequence, answer = SYN | ACK, 1000, b""
+            elif segment.length:
+                self.requests += 1
+                flags, sequence, answer = ACK, 1001, b"answer"
+            else:
+                continue
+            reply = packet(
+                segment.source,
+                segment.source_port,
+                flags,
+                sequence=sequence,
+                acknowledged=segment.sequence + 1,
+                data=answer,
+                from_target=True,
+            )
+            self._peer.send(reply, self._outbound)
+
+    def close(self) -> None:
+        """Close its socket."""
+        self._peer.socket.close()
+
+
+class Site:
+    """A store, an entry instance and sidecars with a target each."""
+
+    def __init__(self, stack: AsyncExitStack, store: MetadataStore, store_at: Address):
+        self._stack = stack
+        self._store_at = store_at
+        self.store = store
+        (
+            self.packet_port,
+            self.peer_port,
+            self.ready_port,
+            self.metrics_port,
+            self.outbound_port,
+            self.beat_port,
+        ) = free_ports(6)
+        self.lines = Lines()
+        self.targets: list[Target] = []
+        self.caller_ip = machine_ip(15)
+        self._caller = Peer(self.caller_ip, self.packet_port)
+        stack.callback(self._caller.socket.close)
+        self.sequence = 500
+
+    def member(self, ip: str) -> MemberSettings:
+        """Return the settings of a machine."""
+        return MemberSettings(
+            name=ip,
+            zone="a",
+            packet_address=Address(ip, self.packet_port),
+            peer_address=Address(ip, self.peer_port),
+            ready_address=Address(ip, self.ready_port),
+            metrics_address=Address(ip, self.metrics_port),
+            store=self._store_at,
+            seeds=(),
+            stop_limit_s=2.5,
+            max_flow_s=60.0,
+        )
+
+    async def start_entry(self, number: int) -> EntryCore:
+        """Start an entry instance."""
+        telemetry = Telemetry(f"entry-{number}", self.lines, _monotonic())
+        settings = self.member(machine_ip(number))
+        core = EntryCore(settings, PacketCodec(), OperatorConfiguration(), telemetry)
+        store = await self._client(telemetry)
+        daemon = EntryDaemon(
+            core, store, read_settings=lambda: settings, on_settings=lambda _: None
+        )
+        readers = self._stack.enter_context(core.open_sockets())
+        self._run(daemon.run(readers, None))
+        return core
+
+    async def start_sidecar(self, number: int) -> SidecarCore:
+        """Start a sidecar and its target, which has sent a heartbeat on return."""
+        ip = machine_ip(number)
+        target = Target(ip, self.outbound_port)
+        self._stack.callback(target.close)
+        self._run(target.run())
+        self.targets.append(target)
+        telemetry = Telemetry(f"sidecar-{number}", self.lines, _monotonic())
+        settings = FlowSidecarSettings(
+            member=self.member(ip),
+            outbound_address=Address(ip, self.outbound_port),
+            heartbeat_address=Address(ip, self.beat_port),
+            target_address=target.address,
+            service="core",
+            heartbeat_interval_s=30.0,
+            address_reuse_s=30.0,
+        )
+        core = SidecarCore(settings, PacketCodec(), telemetry)
+        store = await self._client(telemetry)
+        daemon = SidecarDaemon(
+            core,
+            store,
+            HeartbeatCalls(str(target.address)),
+            read_settings=lambda: settings,
+            on_settings=lambda _: None,
+        )
+        readers = self._stack.enter_context(core.open_sockets())
+        self._run(daemon.run(readers))
+        await self.beat(number, target, sequence=1)
+        return core
+
+    async def beat(
+        self, number: int, target: Target, *, sequence: int, state: str = "ready"
+    ) -> int:
+        """Send a heartbeat, repeated until somebody listens; return the status."""
+        body = {
+            "service": "core",
+            "address": str(target.address),
+            "state": state,
+            "concurrency": 3,
+            "coldRemainingMs": 0,
+            "seq": sequence,
+            "born": 1,
+        }
+        status, _ = await self.call(
+            number,
+            self.beat_port,
+            "POST",
+            f"/instances/i-{number}/heartbeat",
+            json.dumps(body).encode(),
+        )
+        return status
+
+    async def call(
+        self, number: int, port: int, method: str, path: str, body: bytes = b""
+    ) -> tuple[int, bytes]:
+        """Call a machine over HTTP, repeated until it listens."""
+        async with (
+            asyncio.timeout(10),
+            http_client(Address(machine_ip(number), port), 1 << 20) as client,
+        ):
+            while True:
+                try:
+                    return await client.call(method, path, body, 2.0)
+                except Exception:
+                    await asyncio.sleep(0.01)
+
+    def send(self, number: int, flags: int, port: int, data: bytes = b"") -> None:
+        """Send a caller's packet to an entry instance."""
+        acknowledged = 0 if flags == SYN else 1001
+        sent = packet(
+            inet_aton(self.caller_ip),
+            port,
+            flags,
+            sequence=self.sequence,
+            acknowledged=acknowledged,
+            data=data,
+        )
+        self._caller.send(sent, Address(machine_ip(number), self.packet_port))
+
+    async def receive(self):
+        """Return the next packet that a caller gets, decoded."""
+        data, _ = await self._caller.receive()
+        return PacketCodec().decode(data)
+
+    async def _client(self, telemetry: Telemetry) -> PlatformStore:
+        client = await self._stack.enter_async_context(
+            http_client(self._store_at, 1 << 20)
+        )
+        return PlatformStore(client, telemetry.count)
+
+    def _run(self, work) -> None:
+        task = asyncio.create_task(work)
+        self._stack.callback(task.cancel)
+
+
+def _monotonic() -> Callable[[], float]:
+    return asyncio.get_running_loop().time
+
+
+@asynccontextmanager
+async def running_site() -> AsyncIterator[Site]:
+    """Yield a site with a configuration and no daemon yet."""
+    address = Address(machine_ip(14), free_ports(1)[0])
+    telemetry = Telemetry("store", Lines(), lambda: 0.0)
+    async with metadata_store(address, telemetry) as store, AsyncExitStack() as stack:
+        await store.put("op/config", CONFIGURATION)
+        yield Site(stack, store, address)
--- /dev/null
+++ b/tests/test_flow_daemons.py
@@ -0,0 +1,230 @@
+"""The flow daemons whole, over real sockets: they find each other and serve."""
+
+import asyncio
+import json
+import os
+
+import pytest
+
+from cranberryhold.addresses import Address
+from cranberryhold.exceptions import SettingsError
+from cranberryhold.flows.early_forwarding import forward_while_loading
+from cranberryhold.flows.leased_store import FirstReading
+from cranberryhold.flows.settings_watch import SettingsWatch, changed_fields
+from cranberryhold.flows.telemetry import (
+    FLOW_EVENT_BURST,
+    Histogram,
+    NonBlockingOutput,
+    Telemetry,
+)
+from cranberryhold.flows.udp import open_udp
+from cranberryhold.platform.first_reading import read_first
+from tests.flow_site import CONFIGURATION, machine_ip, running_site
+from tests.flow_world import ACK, SYN, Lines
+from tests.waiting import until
+
+
+async def test_a_request_is_served_end_to_end():
+    async with running_site() as site:
+        entry = await site.start_entry(1)
+        await site.start_sidecar(2)
+        await site.start_sidecar(3)
+        peers = entry.member.peers
+        await until(lambda: len(peers.sidecars) == 2 and entry.is_ready())
+        site.send(1, SYN, 40001)
+        assert (await site.receive()).opens
+        site.send(1, ACK, 40001, b"request")
+        assert (await site.receive()).length == len(b"answer")
+        assert sum(target.requests for target in site.targets) == 1
+
+
+async def test_a_second_entry_instance_learns_all_while_the_store_is_down():
+    async with running_site() as site:
+        first = await site.start_entry(1)
+        await site.start_sidecar(2)
+        await until(lambda: first.is_ready() and first.member.peers.sidecars)
+        site.store.refuse_with = 503
+        second = await site.start_entry(4)
+        second.member.note_seeds([Address(machine_ip(1), site.peer_port)])
+        second.tell_status()
+        await until(lambda: second.document() == CONFIGURATION)
+        await until(lambda: second.member.peers.sidecars)
+        site.send(4, SYN, 40001)
+        assert (await site.receive()).opens
+
+
+async def test_a_draining_target_is_acknowledged_and_gets_no_new_flow():
+    async with running_site() as site:
+        entry = await site.start_entry(1)
+        sidecar = await site.start_sidecar(2)
+        await until(lambda: entry.member.peers.sidecars)
+        target = site.targets[0]
+        assert await site.beat(2, target, sequence=2, state="draining") == 200
+        assert not sidecar.path.accepts_flows()
+        status, _ = await site.call(
+            2, site.beat_port, "POST", "/instances/i-2/deregister"
+        )
+        assert status == 200
+
+
+async def test_malformed_calls_are_refused_and_counted():
+    async with running_site() as site:
+        sidecar = await site.start_sidecar(2)
+        for body in (b"", b"{}", b"\xff\xff", json.dumps({"seq": []}).encode()):
+            status, _ = await site.call(
+                2, site.beat_port, "POST", "/instances/i-2/heartbeat", body
+            )
+            assert status == 400
+        assert sidecar.telemetry.counts["heartbeats_malformed"] == 4
+        reader, writer = await asyncio.open_connection(machine_ip(2), site.beat_port)
+        writer.write(b"\0\1\2 not http\r\n\r\n")
+        assert await reader.read() == b""
+        writer.close()
+        assert sidecar.path.accepts_flows()
+
+
+async def test_readiness_metrics_and_configuration_are_served():
+    async with running_site() as site:
+        entry = await site.start_entry(1)
+        await site.start_sidecar(2)
+        await until(entry.is_ready)
+        assert (await site.call(1, site.ready_port, "GET", "/readyz"))[0] == 200
+        assert (await site.call(1, site.ready_port, "GET", "/other"))[0] == 404
+        site.send(1, SYN, 40001)
+        await site.receive()
+        _, page = await site.call(1, site.metrics_port, "GET", "/metrics")
+        assert b"cranberryhold_flows_offered_total 1.0" in page
+        assert b"cranberryhold_packet_handling_seconds_bucket" in page
+        assert b"cranberryhold_configuration_version 1.0" in page
+        _, document = await site.call(1, site.peer_port, "GET", "/configuration")
+        assert document == CONFIGURATION
+        entry.leave_rotation()
+        assert (await site.call(1, site.ready_port, "GET", "/readyz"))[0] == 503
+
+
+class FakeCore:
+    def __init__(self):
+        self.readings = []
+
+    def take_first_reading(self, reading):
+        self.readings.append(reading)
+
+    def tell_status(self):
+        return 0
+
+
+class TestEarlyForwarding:
+    def test_packets_are_handed_on_while_the_rest_is_loaded(self):
+        telemetry = Telemetry("test", Lines(), lambda: 0.0)
+        address = Address(machine_ip(9), 0)
+        taken, core = [], FakeCore()
+        reading = FirstReading(None, 7, [])
+        with (
+            open_udp(address, telemetry) as receiver,
+            open_udp(address, telemetry) as sender,
+        ):
+            port = receiver._sock.getsockname()[1]
+            own = bytes(map(int, address.ip.split(".")))
+
+            def load():
+                sender.send(b"packet", own, port)
+                while not taken:
+                    pass
+
+            readers = [(receiver, lambda data, ip: taken.append((data, ip)))]
+            found = forward_while_loading(core, readers, lambda: reading, load)
+        assert taken == [(b"packet", own)]
+        assert found is reading
+        assert core.readings == [reading]
+
+    def test_a_store_that_can_not_be_read_holds_nothing_up(self):
+        core = FakeCore()
+        assert forward_while_loading(core, [], lambda: None, lambda: None) is None
+        assert core.readings == []
+
+    async def test_the_first_reading_is_what_the_store_holds(self):
+        async with running_site() as site:
+            await site.store.put("cranberryhold/members/10.0.0.1", b"{}")
+            errors = []
+            arguments = (site._store_at, "op/config", "cranberryhold/members/")
+            reading = await asyncio.to_thread(read_first, *arguments, errors.append)
+            assert reading.configuration.value == CONFIGURATION
+            assert len(reading.members) == 1
+            site.store.refuse_with = 503
+            assert (
+                await asyncio.to_thread(read_first, *arguments, errors.append) is None
+            )
+            assert len(errors) == 1
+
+
+class TestSettingsWatch:
+    def watch(self, read, applied):
+        site_settings = read()
+        self.lines = Lines()
+        telemetry = Telemetry("test", self.lines, lambda: 0.0)
+        return SettingsWatch(
+            site_settings, read, applied.append, fixed=("packet_",), telemetry=telemetry
+        )
+
+    async def test_changed_settings_are_applied_and_named(self):
+        async with running_site() as site:
+            first = site.member(machine_ip(1))
+            moved = site.member(machine_ip(2))
+            answers = [first, first, moved]
+            applied = []
+            watch = self.watch(lambda: answers.pop(0), applied)
+            watch.check()
+            assert applied == []
+            watch.check()
+            assert applied == [moved]
+            assert "needs_restart=packet_address" in self.lines.written[-1]
+            assert "name" in changed_fields(first, moved)
+
+    async def test_bad_settings_keep_the_old_ones_and_are_logged_once(self):
+        async with running_site() as site:
+            answers = [site.member(machine_ip(1))]
+
+            def read():
+                if answers:
+                    return answers.pop()
+                raise SettingsError("nodeName is missing")
+
+            applied = []
+            watch = self.watch(read, applied)
+            watch.check()
+            watch.check()
+            assert applied == []
+            assert len(self.lines.written) == 1
+
+
+class TestTelemetry:
+    def test_events_that_callers_cause_are_limited_and_counted(self):
+        now = [0.0]
+        lines = Lines()
+        telemetry = Telemetry("test", lines, lambda: now[0])
+        for _ in range(1000):
+            telemetry.flow_event("flow-offered", flow="x")
+        assert len(lines.written) == FLOW_EVENT_BURST
+        assert telemetry.counts["log_lines_suppressed"] == 1000 - FLOW_EVENT_BURST
+        now[0] = 1.0
+        telemetry.flow_event("flow-offered", flow="x")
+        assert f"suppressed={1000 - int(FLOW_EVENT_BURST)}" in lines.written[-1]
+
+    @pytest.mark.parametrize("closed", [False, True])
+    def test_a_full_or_closed_output_drops_lines_and_does_not_wait(self, closed):
+        read, write = os.pipe()
+        output = NonBlockingOutput(write)
+        if closed:
+            os.close(read)
+        for _ in range(100):
+            output.write("x" * 1000 + "\n")
+        assert output.dropped > 0
+        os.close(write)
+        if not closed:
+            os.close(read)
+
+    def test_buckets_are_cumulative(self):
+        histogram = Histogram((0.1, 1.0))
+        for seconds in (0.05, 0.5, 5.0):
+            histogram.observe(seconds)
+        assert histogram.cumulative() == [("0.1", 1), ("1.0", 2), ("+Inf", 3)]
--- a/tests/test_flow_paths.py
+++ b/tests/test_flow_paths.py
@@ -7,7 +7,11 @@
 from socket import inet_aton
 
 import pytest
-from flow_world import (
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from cranberryhold.flows.target_state import TargetPhase
+from tests.flow_world import (
     ACK,
     OTHER_SERVICE,
     RST,
@@ -18,10 +22,6 @@
     heartbeat,
     packet,
 )
-from hypothesis import given, settings
-from hypothesis import strategies as st
-
-from cranberryhold.flows.target_state import TargetPhase
 
 FIRST, SECOND, THIRD = (inet_aton(f"10.0.1.{n}") for n in (1, 2, 3))
 
--- a/tests/test_flow_state.py
+++ b/tests/test_flow_state.py
@@ -3,15 +3,6 @@
 from socket import inet_aton
 
 import pytest
-from flow_world import (
-    ACK,
-    FIN,
-    SYN,
-    ManualClock,
-    configuration,
-    heartbeat,
-    packet,
-)
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -51,6 +42,15 @@
     TargetState,
 )
 from cranberryhold.platform.packets import PacketCodec
+from tests.flow_world import (
+    ACK,
+    FIN,
+    SYN,
+    ManualClock,
+    configuration,
+    heartbeat,
+    packet,
+)
 
 CALLER = inet_aton("100.64.0.7")
 CORE = service_tag("core")
--- a/tests/test_flow_store.py
+++ b/tests/test_flow_store.py
@@ -7,9 +7,6 @@
 from socket import inet_aton
 
 import pytest
-from flow_world import Lines
-from sockets import LOCAL, free_port
-from waiting import until
 
 from cranberryhold.addresses import Address
 from cranberryhold.exceptions import StoreError
@@ -35,6 +32,9 @@
 from cranberryhold.platform.operator_configuration import OperatorConfiguration
 from cranberryhold.platform.store import PlatformStore
 from emulator.metadata_store import metadata_store
+from tests.flow_world import Lines
+from tests.sockets import LOCAL, free_port
+from tests.waiting import until
 
 KEY = "op/config"
 
