Keep flows that only their target has closed for longer

A caller may still send on such a flow; forgotten after 3 s, it was searched in vain and reset, though its target lived. The load that a sidecar reports counts only flows that the target has not closed. Found by reading; the new test fails without the change.

--- a/src/cranberryhold/flows/flow_table.py
+++ b/src/cranberryhold/flows/flow_table.py
@@ -11,8 +11,8 @@
 _FIN_NUMBERS = 1
 # Longest that a request counts as running at a target that sends nothing.
 MAX_RUNNING_S = 5.0
-# The last packets of a closed flow still find the target that held it.
-CLOSED_KEPT_S = 3.0
+# A caller may send on a flow that its target has closed until it closes it, too.
+CLOSED_KEPT_S = 15.0
 
 
 class FlowRecord(Struct):
@@ -61,10 +61,16 @@
         self._max_age_s = max_age_s
         self._flows: dict[bytes, FlowRecord] = {}
         self._running = 0
+        self._closed = 0
 
     def __len__(self) -> int:
         return len(self._flows)
 
+    @property
+    def unclosed(self) -> int:
+        """Flows that the target has not closed."""
+        return len(self._flows) - self._closed
+
     @property
     def running(self) -> int:
         """Requests that are taken to occupy a slot of the target."""
@@ -111,8 +117,9 @@
             record.sent_end = end
         if segment.length or segment.ends or segment.resets:
             self._stop(record)
-        if segment.ends or segment.resets:
+        if (segment.ends or segment.resets) and record.closed_at is None:
             record.closed_at = now
+            self._closed += 1
         return record
 
     def remove(self, key: bytes) -> None:
@@ -120,11 +127,14 @@
         record = self._flows.pop(key, None)
         if record is not None:
             self._stop(record)
+            if record.closed_at is not None:
+                self._closed -= 1
 
     def clear(self) -> None:
         """Forget all flows."""
         self._flows.clear()
         self._running = 0
+        self._closed = 0
 
     def sweep(self, now: float) -> int:
         """Forget flows that are closed or idle, and return how many."""
--- a/src/cranberryhold/flows/peer_messages.py
+++ b/src/cranberryhold/flows/peer_messages.py
@@ -29,7 +29,7 @@
     :param accepts: whether the target takes new flows.
     :param slots: requests that the target works on at a time.
     :param running: requests that occupy a slot now.
-    :param flows: flows that the sidecar knows.
+    :param flows: flows that the target has not closed.
     :param cold: whether the target still is slow after its start.
     """
 
--- a/src/cranberryhold/flows/sidecar_core.py
+++ b/src/cranberryhold/flows/sidecar_core.py
@@ -169,7 +169,7 @@
             self._accepted,
             self._target.slots,
             self._path.flows.running,
-            len(self._path.flows),
+            self._path.flows.unclosed,
             self._target.is_cold(boot_time()),
         )
 
--- a/tests/test_flow_paths.py
+++ b/tests/test_flow_paths.py
@@ -13,6 +13,7 @@
 from cranberryhold.flows.target_state import TargetPhase
 from tests.flow_world import (
     ACK,
+    FIN,
     OTHER_SERVICE,
     RST,
     SYN,
@@ -317,6 +318,22 @@
     assert not world.targets[FIRST].runs
 
 
+def test_a_flow_that_only_its_target_has_closed_is_not_reset():
+    world = FlowWorld(sidecars=1)
+    caller = Caller(world)
+    caller.open()
+    end = packet(
+        caller.ip, caller.port, FIN | ACK, sequence=caller.next, from_target=True
+    )
+    world.sidecars[FIRST].take_from_target(end)
+    world.run()
+    world.answers()
+    world.clock.now += 10
+    world.sidecars[FIRST].sweep()
+    world.tell()
+    assert caller.ask() is True
+
+
 def test_a_reset_of_the_caller_frees_the_slot():
     world = FlowWorld(sidecars=1)
     caller = Caller(world)
--- a/tests/test_flow_state.py
+++ b/tests/test_flow_state.py
@@ -137,9 +137,11 @@
             elif step == "r":
                 table.remove(key(number))
             else:
-                table.sweep(20.0)
+                table.sweep(17.0)
             records = [table.get(key(n)) for n in range(6)]
             assert table.running == sum(r.running for r in records if r)
+            unclosed = [r for r in records if r and r.closed_at is None]
+            assert table.unclosed == len(unclosed)
 
 
 class TestFlowCache:
