--- a/src/cranberryhold/flows/dependency.py
+++ b/src/cranberryhold/flows/dependency.py
@@ -21,11 +21,6 @@
         self._monotonic = monotonic
         self._lost_at: float | None = None
 
-    @property
-    def lost(self) -> bool:
-        """Whether it did not answer the last time."""
-        return self._lost_at is not None
-
     def failed(self, reason: object) -> None:
         """Take note that it did not answer."""
         self._telemetry.count(f"{self._name}_failures")
--- a/src/cranberryhold/flows/entry_core.py
+++ b/src/cranberryhold/flows/entry_core.py
@@ -171,6 +171,7 @@
         """Return sizes and versions for the metrics."""
         return {
             "flows": len(self._path.flows),
+            "log_lines_dropped": self._telemetry.lines_dropped,
             "entries": len(self._member.peers.entries),
             "sidecars": len(self._member.peers.sidecars),
             "configuration_version": self._routes.version,
--- a/src/cranberryhold/flows/route_table.py
+++ b/src/cranberryhold/flows/route_table.py
@@ -39,14 +39,12 @@
 
     :param version: grows with each change, not always by one.
     :param routes: all routes.
-    :param service_names: all services.
     :param idle_timeout_s: a flow without packets for longer may be forgotten.
     :param document: the configuration as the operator wrote it, for peers.
     """
 
     version: int
     routes: tuple[Route, ...]
-    service_names: frozenset[str]
     idle_timeout_s: float
     document: bytes
 
--- a/src/cranberryhold/flows/sidecar_core.py
+++ b/src/cranberryhold/flows/sidecar_core.py
@@ -114,6 +114,7 @@
         """Return sizes and ages for the metrics."""
         return {
             "flows": len(self._path.flows),
+            "log_lines_dropped": self._telemetry.lines_dropped,
             "running": self._path.flows.running,
             "entries": len(self._member.peers.entries),
             "heartbeat_age_seconds": self._target.age_s(boot_time()),
--- a/src/cranberryhold/flows/sidecar_path.py
+++ b/src/cranberryhold/flows/sidecar_path.py
@@ -77,7 +77,6 @@
         self._codec = codec
         self._output = output
         self._telemetry = telemetry
-        self._max_flow_s = max_flow_s
         self._monotonic = monotonic
         self._boot_time = boot_time
         self._flows = FlowTable(max_flow_s)
@@ -95,11 +94,6 @@
         """Flows of the target."""
         return self._flows
 
-    @property
-    def leaving(self) -> bool:
-        """Whether the process is about to end."""
-        return self._leaving
-
     def leave(self) -> None:
         """Refuse new flows from now on."""
         self._leaving = True
@@ -109,7 +103,7 @@
         return not self._leaving and self._target.accepts_flows(self._boot_time())
 
     def held_flows(self) -> int:
-        """Return how many open flows the target may still hold."""
+        """Return how many open flows the target may still hold, at least."""
         if self._target.service == NO_TARGET:
             return 0
         if self._monotonic() < self._unsure_until:
@@ -183,7 +177,7 @@
             self._telemetry.count("packets_malformed")
             return
         if segment.returned:
-            self._take_returned(segment, packet)
+            self._take_returned(segment)
             return
         key = segment.flow_from_target()
         known = self._flows.get(key) is not None
@@ -326,7 +320,7 @@
         self._telemetry.count("packets_to_target")
         self._output.to_target(self._codec.with_token(envelope.packet, token))
 
-    def _take_returned(self, segment: Segment, packet: bytes) -> None:
+    def _take_returned(self, segment: Segment) -> None:
         key = segment.flow_from_caller()
         envelope = self._offers.take(segment.token)
         self._telemetry.count("packets_returned")
@@ -336,8 +330,7 @@
         if segment.opens:
             self._pass_opening_on(envelope, key, "returned-by-target")
             return
-        if self._flows.get(key) is not None:
-            self._flows.remove(key)
+        self._flows.remove(key)
         if envelope.purpose is Purpose.SEEK_AT_UNSURE:
             self._seek_on(envelope, segment, key)
             return
--- a/src/cranberryhold/flows/telemetry.py
+++ b/src/cranberryhold/flows/telemetry.py
@@ -78,6 +78,10 @@
 class LineOutput(Protocol):
     """Where log lines go."""
 
+    @property
+    def dropped(self) -> int:
+        """Lines that could not be written since the start."""
+
     def write(self, line: str) -> None:
         """Write one line that ends with a line feed, without waiting."""
 
@@ -100,6 +104,11 @@
         self._counts: Counter[str] = Counter()
         self._histograms: dict[str, Histogram] = {}
 
+    @property
+    def lines_dropped(self) -> int:
+        """Log lines that could not be written since the start."""
+        return self._output.dropped
+
     @property
     def output(self) -> LineOutput:
         """Where lines go."""
@@ -169,7 +178,7 @@
 
     @property
     def dropped(self) -> int:
-        """Lines that were dropped since the start."""
+        """Lines that could not be written since the start."""
         return self._dropped
 
     def write(self, line: str) -> None:
--- a/src/cranberryhold/platform/operator_configuration.py
+++ b/src/cranberryhold/platform/operator_configuration.py
@@ -25,10 +25,6 @@
     backends: list[_Backend] = []
 
 
-class _Service(msgspec.Struct):
-    name: str
-
-
 class _Limits(msgspec.Struct, rename="camel"):
     idle_timeout_ms: int = DEFAULT_IDLE_TIMEOUT_MS
 
@@ -36,7 +32,6 @@
 class _Document(msgspec.Struct):
     version: int
     routes: list[_Route]
-    services: list[_Service]
     limits: _Limits = msgspec.field(default_factory=_Limits)
 
 
@@ -58,7 +53,6 @@
             return Configuration(
                 version=read.version,
                 routes=tuple(_route(route) for route in read.routes),
-                service_names=frozenset(service.name for service in read.services),
                 idle_timeout_s=read.limits.idle_timeout_ms / 1000,
                 document=document,
             )
--- a/src/cranberryhold/platform/settings.py
+++ b/src/cranberryhold/platform/settings.py
@@ -22,7 +22,6 @@
 
 class _Platform(msgspec.Struct, rename="camel"):
     address: str
-    ttl_min_ms: int
 
 
 class PlatformSettings(msgspec.Struct, rename="camel"):
--- a/tests/flow_world.py
+++ b/tests/flow_world.py
@@ -39,6 +39,7 @@
     """Log lines of a process."""
 
     written: list[str] = field(default_factory=list)
+    dropped: int = 0
 
     def write(self, line):
         self.written.append(line)
@@ -68,8 +69,7 @@
 def configuration(version=1, services=((SERVICE, 1),), port=SERVICE_PORT):
     weighted = tuple(WeightedService(name, weight) for name, weight in services)
     route = Route("route", SERVICE_IP, port, weighted)
-    names = frozenset(name for name, _ in services)
-    return Configuration(version, (route,), names, 15.0, b"{}")
+    return Configuration(version, (route,), 15.0, b"{}")
 
 
 def heartbeat(**changes):
