Serve aiohttp applications and keep aiohttp from repeating in one place each

The two stand-ins built the same AppRunner, and the store client and the upstream client kept aiohttp from repeating a request in two ways, one of them by a private attribute of the library. A switch of aiohttp was ruled out: it has no public one.

--- a/emulator/platform.py
+++ b/emulator/platform.py
@@ -20,6 +20,7 @@
 
 from cranberryhold.addresses import Address
 from emulator.key_values import MAX_VALUE_BYTES, Entry, Faults, KeyValues, pause
+from emulator.serving import serving_application
 
 # Limits of the published interface.
 MIN_TTL_S = 10.0
@@ -56,15 +57,10 @@
     @asynccontextmanager
     async def serve(self, listen: Address) -> AsyncIterator[Address]:
         """Listen until the context ends; yields the address (port 0: any)."""
-        runner = web.AppRunner(self.application(), shutdown_timeout=0.1)
-        await runner.setup()
-        try:
-            site = web.TCPSite(runner, listen.ip, listen.port)
-            await site.start()
-            ip, port = runner.addresses[0][:2]
-            yield Address(ip, port)
-        finally:
-            await runner.cleanup()
+        async with serving_application(
+            self.application(), listen, shutdown_timeout_s=0.1
+        ) as address:
+            yield address
 
     @web.middleware
     async def _with_faults(
--- a/emulator/upstream.py
+++ b/emulator/upstream.py
@@ -20,6 +20,7 @@
 from cranberryhold.addresses import Address
 from cranberryhold.clock import Clock, SystemClock
 from cranberryhold.exchange import DEADLINE_HEADER
+from emulator.serving import serving_application
 
 _UPLOAD_CHUNK_BYTES = 64 * 1024
 _FEED_PADDING = "-" * 40
@@ -302,20 +303,13 @@
 @asynccontextmanager
 async def serving(upstream: Upstream, listen: Address) -> AsyncIterator[Address]:
     """Serve an instance; yields the address it listens on (port 0: any free one)."""
-    runner = web.AppRunner(
+    async with serving_application(
         upstream.application(),
+        listen,
+        shutdown_timeout_s=0.5,
         handler_cancellation=True,
-        access_log=None,
-        shutdown_timeout=0.5,
-    )
-    await runner.setup()
-    try:
-        site = web.TCPSite(runner, listen.ip, listen.port)
-        await site.start()
-        ip, port = runner.addresses[0][:2]
-        yield Address(ip, port)
-    finally:
-        await runner.cleanup()
+    ) as address:
+        yield address
 
 
 def parser() -> argparse.ArgumentParser:
--- a/src/cranberryhold/consul.py
+++ b/src/cranberryhold/consul.py
@@ -11,18 +11,14 @@
 from aiohttp import (
     ClientConnectorError,
     ClientError,
-    ClientHandlerType,
-    ClientOSError,
-    ClientRequest,
-    ClientResponse,
     ClientSession,
     ClientTimeout,
     ConnectionTimeoutError,
     InvalidURL,
-    ServerDisconnectedError,
 )
 
 from cranberryhold.exceptions import StoreError, StoreOutcomeUnknownError
+from cranberryhold.sending_once import send_once
 from cranberryhold.store import Lease, Versioned
 
 CONNECT_TIMEOUT_S = 2.0
@@ -69,7 +65,7 @@
         cls, url: str, call_timeout_s: float = CALL_TIMEOUT_S
     ) -> AsyncIterator["ConsulStore"]:
         """Yield a store with its own client session."""
-        async with ClientSession(middlewares=(_send_once,)) as session:
+        async with ClientSession(middlewares=(send_once,)) as session:
             yield cls(url, session, call_timeout_s)
 
     @property
@@ -235,26 +231,6 @@
         )
 
 
-class _LostAnswerError(ClientError):
-    """The connection ended before the answer arrived."""
-
-
-async def _send_once(
-    request: ClientRequest, handler: ClientHandlerType
-) -> ClientResponse:
-    """Keep aiohttp from repeating a call whose connection ended.
-
-    The first try of a PUT may have taken effect; the repeated swap would then fail
-    and make a success look like a conflict.
-    """
-    try:
-        return await handler(request)
-    except (ClientConnectorError, ConnectionTimeoutError):
-        raise
-    except (ClientOSError, ServerDisconnectedError) as error:
-        raise _LostAnswerError(_reason(error)) from error
-
-
 def _path(key: str) -> str:
     return f"/v1/kv/{quote(key)}"
 
--- a/src/cranberryhold/upstream.py
+++ b/src/cranberryhold/upstream.py
@@ -23,6 +23,7 @@
     Request,
     Response,
 )
+from cranberryhold.sending_once import send_once
 
 CONNECT_TIMEOUT_S = 1.0
 HEALTH_PERIOD_S = 1.0
@@ -169,10 +170,8 @@
         timeout=timeout,
         auto_decompress=False,
         skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding", "Content-Type"),
+        middlewares=(send_once,),
     ) as session:
-        # aiohttp repeats idempotent methods after a lost connection, even on a
-        # new one, and has no public switch; repeats are the caller's decision.
-        session._retry_connection = False
         yield UpstreamClient(address, session)
 
 
