Bear signals that come in series, and name the moment of service

A repeated SIGTERM now changes nothing, a second SIGINT still ends at once, and signals are held back once the daemon is done. The event serving says when all addresses are open. The HTTP server ends its connections when its context ends, which the stand-in store's waiting calls need.

--- a/src/cranberryhold/flows/entry_daemon.py
+++ b/src/cranberryhold/flows/entry_daemon.py
@@ -108,6 +108,7 @@
                     self._settings_watch.run(),
                 )
             ]
+            self._telemetry.event("serving")
             await self._stop.wait()
             await self._leave_rotation()
             self._member.leave(flows=0)
--- a/src/cranberryhold/flows/http_server.py
+++ b/src/cranberryhold/flows/http_server.py
@@ -56,16 +56,21 @@
     address: Address, handler: Handler, telemetry: Telemetry
 ) -> AsyncIterator[None]:
     """Serve requests at an address inside the context."""
-    connections: set[asyncio.StreamWriter] = set()
+    connections: dict[asyncio.StreamWriter, asyncio.Task[None] | None] = {}
+    closing = False
 
     async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         if len(connections) >= MAX_CONNECTIONS:
             telemetry.count("http_connections_refused")
             writer.close()
             return
-        connections.add(writer)
+        connections[writer] = asyncio.current_task()
         try:
             await _serve_connection(reader, writer, handler)
+        except asyncio.CancelledError:
+            # asyncio reports a cancelled connection as an error of its own.
+            if not closing:
+                raise
         except (OSError, TimeoutError, asyncio.IncompleteReadError) as error:
             telemetry.count("http_connections_lost")
             telemetry.flow_event(
@@ -79,16 +84,19 @@
                 "http-request-malformed", port=address.port, error=error
             )
         finally:
-            connections.discard(writer)
+            connections.pop(writer, None)
             writer.close()
 
     server = await asyncio.start_server(serve, address.ip, address.port)
     try:
         yield
     finally:
+        closing = True
         server.close()
-        for writer in list(connections):
-            writer.close()
+        tasks = [task for task in connections.values() if task is not None]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks)
 
 
 class _RequestParser:
--- a/src/cranberryhold/flows/member_daemon.py
+++ b/src/cranberryhold/flows/member_daemon.py
@@ -18,6 +18,7 @@
 from cranberryhold.flows.telemetry import Telemetry
 
 SWEEP_INTERVAL_S = 2.0
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 METRICS_PATH = "/metrics"
 READY_PATH = "/readyz"
 
@@ -63,8 +64,23 @@
             sweep()
 
 
+async def run_to_exit(work: Awaitable[None]) -> None:
+    """Run a daemon, after whose end the process exits.
+
+    A signal that arrives during the exit is held back: it would end the process as
+    if the stop had failed.
+    """
+    try:
+        await work
+    finally:
+        signal.pthread_sigmask(signal.SIG_BLOCK, (*STOP_SIGNALS, signal.SIGHUP))
+
+
 class StopSignal:
-    """Waits for SIGTERM or SIGINT; a second one ends the process at once."""
+    """Waits for SIGTERM or SIGINT; a second SIGINT ends the process at once.
+
+    A repeated SIGTERM comes from overlapping rollouts, and changes nothing.
+    """
 
     def __init__(self, telemetry: Telemetry) -> None:
         self._telemetry = telemetry
@@ -78,7 +94,7 @@
     def install(self) -> None:
         """Handle the signals."""
         loop = asyncio.get_running_loop()
-        for number in (signal.SIGTERM, signal.SIGINT):
+        for number in STOP_SIGNALS:
             loop.add_signal_handler(number, self._take, number)
 
     async def wait(self) -> None:
@@ -87,7 +103,7 @@
 
     def _take(self, number: int) -> None:
         self._telemetry.event("stop-requested", signal=signal.Signals(number).name)
-        if self._event.is_set():
+        if self._event.is_set() and number == signal.SIGINT:
             raise SystemExit(1)
         self._event.set()
 
--- a/src/cranberryhold/flows/sidecar_daemon.py
+++ b/src/cranberryhold/flows/sidecar_daemon.py
@@ -119,6 +119,7 @@
                     sweep_regularly(self._member.sweep, self._path.sweep),
                 )
             ]
+            self._telemetry.event("serving")
             await self._stop.wait()
             await self._drain()
             held = self._path.held_flows()
--- a/src/cranberryhold/platform/entry_runner.py
+++ b/src/cranberryhold/platform/entry_runner.py
@@ -7,6 +7,7 @@
 from cranberryhold.flows.entry_daemon import EntryDaemon
 from cranberryhold.flows.http_client import http_client
 from cranberryhold.flows.leased_store import FirstReading
+from cranberryhold.flows.member_daemon import run_to_exit
 from cranberryhold.platform.settings import member_settings, read_settings
 from cranberryhold.platform.store import PlatformStore
 
@@ -31,4 +32,4 @@
             revision = reading.store_revision if reading is not None else None
             await daemon.run(readers, revision)
 
-    asyncio.run(run())
+    asyncio.run(run_to_exit(run()))
--- a/src/cranberryhold/platform/sidecar_runner.py
+++ b/src/cranberryhold/platform/sidecar_runner.py
@@ -4,6 +4,7 @@
 
 from cranberryhold.flows.early_forwarding import Reader
 from cranberryhold.flows.http_client import http_client
+from cranberryhold.flows.member_daemon import run_to_exit
 from cranberryhold.flows.sidecar_core import SidecarCore
 from cranberryhold.flows.sidecar_daemon import SidecarDaemon
 from cranberryhold.platform.heartbeats import HeartbeatCalls
@@ -28,4 +29,4 @@
             )
             await daemon.run(readers)
 
-    asyncio.run(run())
+    asyncio.run(run_to_exit(run()))
--- a/tests/flow_site.py
+++ b/tests/flow_site.py
@@ -228,7 +228,12 @@
 
     def _run(self, work) -> None:
         task = asyncio.create_task(work)
-        self._stack.callback(task.cancel)
+
+        async def end() -> None:
+            task.cancel()
+            await asyncio.wait([task])
+
+        self._stack.push_async_callback(end)
 
 
 def _monotonic() -> Callable[[], float]:
--- a/tests/flow_world.py
+++ b/tests/flow_world.py
@@ -14,18 +14,18 @@
     RouteTable,
     WeightedService,
 )
+from cranberryhold.flows.segments import Endpoint
 from cranberryhold.flows.sidecar_path import SidecarPath
 from cranberryhold.flows.target_state import Heartbeat, TargetPhase, TargetState
 from cranberryhold.flows.telemetry import Telemetry
 from cranberryhold.platform.packets import (
-    _HEAD,
     ACK,
-    BOUNCED,
     FIN,
     RST,
     SYN,
     PacketCodec,
 )
+from emulator.flow_packets import flow_packet, returned_packet
 
 SERVICE = "core"
 OTHER_SERVICE = "other"
@@ -56,14 +56,12 @@
 def packet(
     caller, port, flags, *, sequence=0, acknowledged=0, data=b"", from_target=False
 ):
-    ends = (SERVICE_IP, SERVICE_PORT, port, caller)
+    ends = Endpoint(caller, port), Endpoint(SERVICE_IP, SERVICE_PORT)
     if from_target:
-        ends = (caller, port, SERVICE_PORT, SERVICE_IP)
-    checksum = 0x5EED
-    head = _HEAD.pack(
-        *ends, 0, len(data), checksum, flags, 0, sequence % 2**32, acknowledged % 2**32
+        ends = ends[::-1]
+    return flow_packet(
+        *ends, flags, sequence=sequence, acknowledged=acknowledged, data=data
     )
-    return head + data
 
 
 def configuration(version=1, services=((SERVICE, 1),), port=SERVICE_PORT):
@@ -131,9 +129,7 @@
         )
 
     def send_back(self, data):
-        flags = bytes((data[22] | BOUNCED,))
-        returned = data[:22] + flags + b"\0" + data[24:]
-        self.world.post(self.ip, "from_target", returned)
+        self.world.post(self.ip, "from_target", returned_packet(data))
 
 
 class _SidecarOutput:
--- a/tests/test_flow_daemons.py
+++ b/tests/test_flow_daemons.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import os
+import signal
 
 import pytest
 
@@ -10,6 +11,7 @@
 from cranberryhold.exceptions import SettingsError
 from cranberryhold.flows.early_forwarding import forward_while_loading
 from cranberryhold.flows.leased_store import FirstReading
+from cranberryhold.flows.member_daemon import StopSignal, run_to_exit
 from cranberryhold.flows.settings_watch import SettingsWatch, changed_fields
 from cranberryhold.flows.telemetry import (
     FLOW_EVENT_BURST,
@@ -228,3 +230,28 @@
         for seconds in (0.05, 0.5, 5.0):
             histogram.observe(seconds)
         assert histogram.cumulative() == [("0.1", 1), ("1.0", 2), ("+Inf", 3)]
+
+
+class TestStopSignal:
+    @pytest.fixture(autouse=True)
+    def _own_mask(self):
+        mask = signal.pthread_sigmask(signal.SIG_BLOCK, ())
+        yield
+        signal.pthread_sigmask(signal.SIG_SETMASK, mask)
+
+    async def test_a_repeated_request_to_stop_does_not_cut_the_drain_short(self):
+        # An overlapping rollout sends SIGTERM again while requests still run.
+        lines = Lines()
+        stop = StopSignal(Telemetry("test", lines, lambda: 0.0))
+        stop.install()
+        for expected in (1, 2):
+            os.kill(os.getpid(), signal.SIGTERM)
+            await until(lambda count=expected: len(lines.written) == count)
+        await stop.wait()
+        assert all("event=stop-requested" in line for line in lines.written)
+
+    async def test_a_signal_while_the_process_exits_does_not_end_it(self):
+        # The exit code would say that the stop failed.
+        await run_to_exit(asyncio.sleep(0))
+        held = signal.pthread_sigmask(signal.SIG_BLOCK, ())
+        assert {signal.SIGTERM, signal.SIGINT, signal.SIGHUP} <= held
