Add a randomized soak of the flow daemons

Real daemons as processes on loopback; a TCP proxy before the store, the routers' stand-in and signals are the only means of harm. Callers, targets and routers are stand-ins that speak the users' packet format with a keyed sum. The promises (FLOW, ROUTE, DRAIN, CONFIG, MIXED, UNASKED, recovery, stop, memory, store calls, log lines) are checked from what callers and targets see while overlapping series of faults run. Messages between daemons are not harmed, as their addresses are part of the messages: a proxy between them would have to rewrite them.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,11 @@
 export PYTHONPATH := src:.
 RUN := $(BIN)/python
 
-.PHONY: test check demo bench measure slopes format install
+.PHONY: test check demo bench measure slopes soak soak-cases format install
+
+SEED ?= 1
+SEEDS ?= 1
+DURATION ?= 20
 
 install: $(VENV)/.installed
 
@@ -34,5 +38,11 @@
 measure: install
 	$(RUN) -m tools.measure
 
+soak: install
+	$(RUN) -m tools.soak --seed $(SEED) --seeds $(SEEDS) --duration $(DURATION)
+
+soak-cases: install
+	$(RUN) -m tools.soak --cases
+
 slopes: install
 	$(RUN) -m tools.slopes
--- /dev/null
+++ b/tools/soak/callers.py
@@ -0,0 +1,83 @@
+"""Load of a soak: long and short flows, and probes of each entry instance."""
+
+import asyncio
+from random import Random
+
+from cranberryhold.flows.segments import Endpoint
+from emulator.flow_callers import CallerHost, Outcome
+from tools.soak.promises import Promises, Request
+from tools.soak.site import PROBE_ENDPOINT, SERVICE_ENDPOINTS, Machine, Site
+
+LONG_FLOWS = 12
+LONG_FLOW_LASTS_S = (3.0, 20.0)
+LONG_FLOW_PAUSE_S = (0.05, 0.5)
+SHORT_FLOWS_PER_S = 15
+DEADLINE_S = 3.0
+PROBE_INTERVAL_S = 0.3
+# A probe that was not taken by then was lost or refused.
+PROBE_ANSWERED_S = 0.25
+
+
+async def keep_long_flow(host: CallerHost, promises: Promises, random: Random) -> None:
+    """Ask on one flow after the other, until cancelled."""
+    while True:
+        flow = host.flow(_service(random))
+        outcome = await flow.open()
+        if outcome is not Outcome.ANSWERED:
+            host.forget(flow.key)
+            continue
+        ends_at = _now() + random.uniform(*LONG_FLOW_LASTS_S)
+        while outcome is Outcome.ANSWERED and _now() < ends_at:
+            sent_at = _now()
+            outcome = await flow.ask(DEADLINE_S)
+            promises.requests.append(Request(sent_at, outcome))
+            await asyncio.sleep(random.uniform(*LONG_FLOW_PAUSE_S))
+        if outcome is Outcome.ANSWERED:
+            flow.close()
+        else:
+            flow.abandon()
+
+
+async def open_short_flows(
+    host: CallerHost, promises: Promises, random: Random, per_s: float
+) -> None:
+    """Open flows for one request each, until cancelled."""
+    async with asyncio.TaskGroup() as tasks:
+        while True:
+            tasks.create_task(_ask_once(host, promises, random))
+            await asyncio.sleep(random.expovariate(per_s))
+
+
+async def _ask_once(host: CallerHost, promises: Promises, random: Random) -> None:
+    flow = host.flow(_service(random))
+    sent_at = _now()
+    outcome = await flow.open()
+    if outcome is Outcome.ANSWERED:
+        outcome = await flow.ask(DEADLINE_S)
+        flow.close()
+    else:
+        host.forget(flow.key)
+    promises.requests.append(Request(sent_at, outcome))
+
+
+async def probe_configuration(
+    site: Site, host: CallerHost, entry: Machine, promises: Promises
+) -> None:
+    """Find out which version an entry instance applies, until cancelled."""
+    while True:
+        await asyncio.sleep(PROBE_INTERVAL_S)
+        process = len(entry.processes)
+        flow = host.flow(PROBE_ENDPOINT)
+        sent_at = _now()
+        await flow.probe(entry.ip, PROBE_ANSWERED_S)
+        service = promises.opening_of(flow.key)
+        if service is not None:
+            promises.entry_routes_to(entry.name, process, service, sent_at)
+
+
+def _service(random: Random) -> Endpoint:
+    return random.choice(list(SERVICE_ENDPOINTS.values()))
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
