Take a target that listens for serving until its first heartbeat is due

The sidecar connects to a target that it has not heard at its start anyway; if a program listens there, it now counts as one of the service that the settings name, until its heartbeat comes or is overdue. Nothing is presumed of a target that was heard, has ended or was absent.

--- a/src/cranberryhold/flows/sidecar_daemon.py
+++ b/src/cranberryhold/flows/sidecar_daemon.py
@@ -164,7 +164,9 @@
                 self._target.failed("no heartbeat in time")
                 listens = await target_listens(self._settings.target_address)
                 self._telemetry.count("presence_checks")
-                if listens is False and self._path.note_target_absent():
+                if (listens is False and self._path.note_target_absent()) or (
+                    listens and self._path.note_target_present(self._settings.service)
+                ):
                     self._core.tell_status()
             await asyncio.sleep(PRESENCE_INTERVAL_S)
 
--- a/src/cranberryhold/flows/sidecar_path.py
+++ b/src/cranberryhold/flows/sidecar_path.py
@@ -158,6 +158,16 @@
         )
         return True
 
+    def note_target_present(self, service: str) -> bool:
+        """Take note that a target listens; return whether that changes anything.
+
+        :param service: the service that the settings name.
+        """
+        if not self._target.presume(service, self._boot_time()):
+            return False
+        self._telemetry.event("target-presumed", service=service)
+        return True
+
     def take_from_member(self, datagram: bytes) -> None:
         """Handle a datagram of an entry instance or another sidecar."""
         envelope = decode_envelope(datagram)
--- a/src/cranberryhold/flows/target_state.py
+++ b/src/cranberryhold/flows/target_state.py
@@ -72,6 +72,7 @@
         self._ended = False
         self._absent = False
         self._tag = NO_SERVICE
+        self._presumed_at: float | None = None
 
     @property
     def last(self) -> Heartbeat | None:
@@ -103,6 +104,8 @@
 
     def accepts_flows(self, now: float) -> bool:
         """Whether new flows may be offered to the target."""
+        if self._presumed_at is not None:
+            return now - self._presumed_at <= self._fresh_s
         return (
             self._last is not None
             and not self._ended
@@ -137,6 +140,7 @@
         if before is None or before.service != beat.service:
             self._tag = service_tag(beat.service)
         self._last = beat
+        self._presumed_at = None
         self._absent = False
         self._heard_at = now
         self._cold_until = now + beat.cold_for_s
@@ -155,8 +159,23 @@
         """
         new = not self._absent
         self._absent = True
+        self._presumed_at = None
         return new
 
+    def presume(self, service: str, now: float) -> bool:
+        """Take it that a target listens that has not sent a heartbeat yet.
+
+        It counts as one of the service that the sidecar's settings name, until its
+        heartbeat comes or is overdue.
+
+        :return: whether that is new; never if something is known of the target.
+        """
+        if self._last is not None or self._absent or self._presumed_at is not None:
+            return False
+        self._presumed_at = now
+        self._tag = service_tag(service)
+        return True
+
     def note_end(self, target_id: str) -> bool:
         """Take a target's word that it is gone; False if it is not this one."""
         if self._last is None or self._last.target_id != target_id:
--- a/tests/test_flow_state.py
+++ b/tests/test_flow_state.py
@@ -45,6 +45,8 @@
 from tests.flow_world import (
     ACK,
     FIN,
+    OTHER_SERVICE,
+    SERVICE,
     SYN,
     ManualClock,
     configuration,
@@ -283,6 +285,30 @@
         state.note(heartbeat(target_id="i-2", started_ms=9), 0.2)
         assert state.accepts_flows(0.2)
 
+    def test_a_target_that_listens_is_presumed_to_serve_until_a_heartbeat_is_due(self):
+        # A restarted sidecar refused all flows until its target's next heartbeat.
+        state = self.state()
+        assert state.presume(SERVICE, 10.0)
+        assert not state.presume(SERVICE, 10.5)
+        assert state.service == CORE
+        assert state.accepts_flows(11.8)
+        assert not state.accepts_flows(12.0)
+        state.note(heartbeat(phase=TargetPhase.DRAINING), 10.2)
+        assert not state.accepts_flows(10.3)
+
+    @pytest.mark.parametrize("known", ["heard", "ended", "absent"])
+    def test_nothing_is_presumed_of_a_target_that_is_known(self, known):
+        state = self.state()
+        if known == "absent":
+            state.note_absent()
+        else:
+            state.note(heartbeat(service=OTHER_SERVICE), 0.0)
+        if known == "ended":
+            state.note_end("i-1")
+        before = state.service
+        assert not state.presume(SERVICE, 0.1)
+        assert state.service == before
+
     def test_a_target_that_was_taken_for_absent_is_back_with_its_next_heartbeat(self):
         state = self.state()
         assert state.service == NO_SERVICE
