Build the duties that both flow daemons share in one place

Settings watch, announcer, stop signal and the store's state were built alike in the entry daemon and the sidecar daemon. No change of behaviour.

--- a/src/cranberryhold/flows/entry_daemon.py
+++ b/src/cranberryhold/flows/entry_daemon.py
@@ -6,21 +6,18 @@
 
 from cranberryhold.addresses import Address
 from cranberryhold.flows.configuration import PEER_PATH, ConfigurationFollower
-from cranberryhold.flows.dependency import Dependency
 from cranberryhold.flows.early_forwarding import Reader
 from cranberryhold.flows.entry_core import EntryCore
 from cranberryhold.flows.http_server import Request, Response
 from cranberryhold.flows.leased_store import LeasedStore
 from cranberryhold.flows.member_daemon import (
-    StopSignal,
-    announcer_of,
+    MemberDuties,
     reading_sockets,
     serving_member_http,
     sweep_regularly,
 )
 from cranberryhold.flows.peers import ENTRY_STATUS_INTERVAL_S, status_interval_s
 from cranberryhold.flows.settings import FIXED_SETTINGS, MemberSettings
-from cranberryhold.flows.settings_watch import SettingsWatch
 
 # The fabric stops sending after two missed probes, half a second apart; the rest
 # covers packets on their way.
@@ -50,29 +47,25 @@
         on_settings: Callable[[MemberSettings], None],
     ) -> None:
         self._core = core
-        self._on_settings = on_settings
-        self._settings_watch = SettingsWatch(
-            core.settings,
-            read_settings,
-            self._apply_settings,
-            fixed=FIXED_SETTINGS,
-            telemetry=core.telemetry,
-        )
         self._settings = core.settings
         self._telemetry = core.telemetry
         self._member = core.member
-        dependency = Dependency("store", self._telemetry, time.monotonic)
-        self._announcer = announcer_of(
-            "entry", self._member, self._settings, store, self._telemetry, dependency
+        self._duties = MemberDuties(
+            "entry",
+            core,
+            core.settings,
+            store,
+            fixed=FIXED_SETTINGS,
+            read_settings=read_settings,
+            on_settings=on_settings,
         )
         self._follower = ConfigurationFollower(
             core.adopter,
             store,
             self._telemetry,
-            dependency=dependency,
+            dependency=self._duties.store_state,
             random=self._member.random,
         )
-        self._stop = StopSignal(self._telemetry)
         self._fetches: set[asyncio.Task[None]] = set()
 
     async def run(self, readers: list[Reader], store_revision: int | None) -> None:
@@ -82,7 +75,7 @@
         :param store_revision: revision of the store at which the configuration was
             read before, or None.
         """
-        self._stop.install()
+        self._duties.stop.install()
         self._core.on_newer_version(self._fetch)
         async with reading_sockets(readers):
             await self._serve(store_revision)
@@ -102,23 +95,19 @@
                 tasks.create_task(work)
                 for work in (
                     self._follower.run(store_revision),
-                    self._announcer.run(),
+                    self._duties.announcer.run(),
                     self._tell_status(),
                     sweep_regularly(self._member.sweep, self._core.sweep),
-                    self._settings_watch.run(),
+                    self._duties.settings_watch.run(),
                 )
             ]
             self._telemetry.event("serving")
-            await self._stop.wait()
+            await self._duties.stop.wait()
             await self._leave_rotation()
             self._member.leave(flows=0)
             for task in running:
                 task.cancel()
 
-    def _apply_settings(self, settings: MemberSettings) -> None:
-        self._core.apply_settings(settings)
-        self._on_settings(settings)
-
     def _fetch(self, peer: Address, version: int) -> None:
         task = asyncio.create_task(self._follower.fetch_from(peer, version))
         self._fetches.add(task)
--- a/src/cranberryhold/flows/member_daemon.py
+++ b/src/cranberryhold/flows/member_daemon.py
@@ -2,8 +2,12 @@
 
 import asyncio
 import signal
+import time
 from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
 from contextlib import AsyncExitStack, asynccontextmanager
+from typing import Generic, Protocol, TypeVar
+
+from msgspec import Struct
 
 from cranberryhold.addresses import Address
 from cranberryhold.flows.announcement import Announcer
@@ -15,6 +19,7 @@
 from cranberryhold.flows.member_list import MemberEntry, Role
 from cranberryhold.flows.metrics_page import CONTENT_TYPE, metrics_page
 from cranberryhold.flows.settings import MemberSettings
+from cranberryhold.flows.settings_watch import SettingsWatch
 from cranberryhold.flows.telemetry import Telemetry
 
 SWEEP_INTERVAL_S = 2.0
@@ -22,6 +27,8 @@
 METRICS_PATH = "/metrics"
 READY_PATH = "/readyz"
 
+S = TypeVar("S", bound=Struct)
+
 
 @asynccontextmanager
 async def reading_sockets(readers: list[Reader]) -> AsyncIterator[None]:
@@ -36,26 +43,6 @@
             loop.remove_reader(socket.fileno())
 
 
-def announcer_of(
-    role: Role,
-    member: Member,
-    settings: MemberSettings,
-    store: LeasedStore,
-    telemetry: Telemetry,
-    dependency: Dependency,
-) -> Announcer:
-    """Return what keeps the member's entry in the store."""
-    return Announcer(
-        member.ip,
-        MemberEntry(role, settings.zone, member.process),
-        store,
-        telemetry,
-        dependency=dependency,
-        random=member.random,
-        on_members=member.note_listed,
-    )
-
-
 async def sweep_regularly(*sweeps: Callable[[], None]) -> None:
     """Forget what is old, until cancelled."""
     while True:
@@ -108,6 +95,69 @@
         self._event.set()
 
 
+class MemberCore(Protocol[S]):
+    """The state of a daemon, as far as all daemons have it."""
+
+    @property
+    def settings(self) -> S:
+        """Settings of the daemon."""
+
+    @property
+    def telemetry(self) -> Telemetry:
+        """Log and counters."""
+
+    @property
+    def member(self) -> Member:
+        """The own process among the members."""
+
+    def apply_settings(self, settings: S) -> None:
+        """Take changed settings."""
+
+
+class MemberDuties(Generic[S]):
+    """What every flow daemon does besides its packets.
+
+    :param role: role of the daemon in the list of members.
+    :param core: state of the daemon.
+    :param member_settings: what every flow daemon needs of its settings.
+    :param store: the store.
+    :param fixed: first parts of the names of settings that need a restart.
+    :param read_settings: reads the settings anew.
+    :param on_settings: called with changed settings.
+    """
+
+    def __init__(
+        self,
+        role: Role,
+        core: MemberCore[S],
+        member_settings: MemberSettings,
+        store: LeasedStore,
+        *,
+        fixed: tuple[str, ...],
+        read_settings: Callable[[], S],
+        on_settings: Callable[[S], None],
+    ) -> None:
+        def apply(settings: S) -> None:
+            core.apply_settings(settings)
+            on_settings(settings)
+
+        member, telemetry = core.member, core.telemetry
+        self.stop = StopSignal(telemetry)
+        self.store_state = Dependency("store", telemetry, time.monotonic)
+        self.settings_watch = SettingsWatch(
+            core.settings, read_settings, apply, fixed=fixed, telemetry=telemetry
+        )
+        self.announcer = Announcer(
+            member.ip,
+            MemberEntry(role, member_settings.zone, member.process),
+            store,
+            telemetry,
+            dependency=self.store_state,
+            random=member.random,
+            on_members=member.note_listed,
+        )
+
+
 @asynccontextmanager
 async def serving_member_http(
     settings: MemberSettings,
--- a/src/cranberryhold/flows/sidecar_daemon.py
+++ b/src/cranberryhold/flows/sidecar_daemon.py
@@ -11,15 +11,13 @@
 from cranberryhold.flows.http_server import Request, Response, serving_http
 from cranberryhold.flows.leased_store import LeasedStore
 from cranberryhold.flows.member_daemon import (
-    StopSignal,
-    announcer_of,
+    MemberDuties,
     reading_sockets,
     serving_member_http,
     sweep_regularly,
 )
 from cranberryhold.flows.peers import SIDECAR_STATUS_INTERVAL_S, status_interval_s
 from cranberryhold.flows.settings import FIXED_SIDECAR_SETTINGS, FlowSidecarSettings
-from cranberryhold.flows.settings_watch import SettingsWatch
 from cranberryhold.flows.sidecar_core import SidecarCore
 from cranberryhold.flows.target_presence import target_listens
 from cranberryhold.flows.target_state import BeatOutcome, Heartbeat
@@ -68,31 +66,23 @@
         self._member = core.member
         self._path = core.path
         self._heartbeats = heartbeats
-        self._on_settings = on_settings
-        self._settings_watch = SettingsWatch(
-            core.settings,
-            read_settings,
-            self._apply_settings,
-            fixed=FIXED_SIDECAR_SETTINGS,
-            telemetry=self._telemetry,
-        )
-        self._announcer = announcer_of(
+        self._duties = MemberDuties(
             "sidecar",
-            self._member,
-            self._settings.member,
+            core,
+            core.settings.member,
             store,
-            self._telemetry,
-            Dependency("store", self._telemetry, time.monotonic),
+            fixed=FIXED_SIDECAR_SETTINGS,
+            read_settings=read_settings,
+            on_settings=on_settings,
         )
         self._target = Dependency("target", self._telemetry, time.monotonic)
-        self._stop = StopSignal(self._telemetry)
 
     async def run(self, readers: list[Reader]) -> None:
         """Serve until the process is asked to stop.
 
         :param readers: open sockets and what takes their datagrams.
         """
-        self._stop.install()
+        self._duties.stop.install()
         async with (
             reading_sockets(readers),
             serving_http(
@@ -103,7 +93,7 @@
             serving_member_http(
                 self._settings.member,
                 self._telemetry,
-                is_ready=lambda: not self._stop.received,
+                is_ready=lambda: not self._duties.stop.received,
                 gauges=self._core.gauges,
                 peer_pages=self._peer_page,
             ),
@@ -112,26 +102,22 @@
             running = [
                 tasks.create_task(work)
                 for work in (
-                    self._announcer.run(),
+                    self._duties.announcer.run(),
                     self._tell_status(),
                     self._check_presence(),
-                    self._settings_watch.run(),
+                    self._duties.settings_watch.run(),
                     sweep_regularly(self._member.sweep, self._path.sweep),
                 )
             ]
             self._telemetry.event("serving")
-            await self._stop.wait()
+            await self._duties.stop.wait()
             await self._drain()
             held = self._path.held_flows()
             self._member.leave(held)
             for task in running:
                 task.cancel()
             if not held:
-                await self._announcer.withdraw()
-
-    def _apply_settings(self, settings: FlowSidecarSettings) -> None:
-        self._core.apply_settings(settings)
-        self._on_settings(settings)
+                await self._duties.announcer.withdraw()
 
     async def _take_heartbeat(self, request: Request) -> Response:
         try:
--- a/tests/test_flow_paths.py
+++ b/tests/test_flow_paths.py
@@ -149,7 +149,8 @@
     assert not world.targets[other].runs
 
 
-def test_a_restarted_sidecar_lets_its_target_tell_which_flows_it_holds():
+def flows_of_a_restarted_sidecar():
+    """Return callers with open flows, and an entry instance that knows none."""
     world = FlowWorld(sidecars=3, entries=2)
     first, second = world.entries
     callers = [Caller(world, port=40000 + n, entry=first) for n in range(20)]
@@ -157,18 +158,17 @@
         caller.open()
     world.restart_sidecar(FIRST)
     world.tell()
+    return world, callers, second
+
+
+def test_a_restarted_sidecar_lets_its_target_tell_which_flows_it_holds():
+    world, callers, second = flows_of_a_restarted_sidecar()
     assert all(caller.ask() is True for caller in callers)
     assert all(caller.ask(entry=second) is True for caller in callers)
 
 
 def test_a_packet_goes_to_no_foreign_target_while_a_sidecar_knows_the_flow():
-    world = FlowWorld(sidecars=3, entries=2)
-    first, second = world.entries
-    callers = [Caller(world, port=40000 + n, entry=first) for n in range(20)]
-    for caller in callers:
-        caller.open()
-    world.restart_sidecar(FIRST)
-    world.tell()
+    world, callers, second = flows_of_a_restarted_sidecar()
     known = [caller for caller in callers if world.holder(caller) != FIRST]
     assert known
     assert all(caller.ask(entry=second) is True for caller in known)
