--- a/tests/test_flow_paths.py
+++ b/tests/test_flow_paths.py
@@ -158,17 +158,18 @@
         caller.open()
     world.restart_sidecar(FIRST)
     world.tell()
-    return world, callers, second
+    return callers, second
 
 
 def test_a_restarted_sidecar_lets_its_target_tell_which_flows_it_holds():
-    world, callers, second = flows_of_a_restarted_sidecar()
+    callers, second = flows_of_a_restarted_sidecar()
     assert all(caller.ask() is True for caller in callers)
     assert all(caller.ask(entry=second) is True for caller in callers)
 
 
 def test_a_packet_goes_to_no_foreign_target_while_a_sidecar_knows_the_flow():
-    world, callers, second = flows_of_a_restarted_sidecar()
+    callers, second = flows_of_a_restarted_sidecar()
+    world = callers[0].world
     known = [caller for caller in callers if world.holder(caller) != FIRST]
     assert known
     assert all(caller.ask(entry=second) is True for caller in known)
