Search one zone after the other, and mark large searches complete

Searches now go through the own zone first and then zone by zone, in the key's order within each, and list as many sidecars as fit beside the packet (120 at most). Ruled out: the bound of 8 candidates for new flows, which does not change the zone between hops of a search.

--- a/src/cranberryhold/flows/entry_path.py
+++ b/src/cranberryhold/flows/entry_path.py
@@ -4,7 +4,7 @@
 from socket import inet_ntoa
 from typing import Protocol
 
-from cranberryhold.flows.envelope import Envelope, Purpose
+from cranberryhold.flows.envelope import Envelope, Purpose, candidates_that_fit
 from cranberryhold.flows.flow_cache import FlowCache, FlowLocation
 from cranberryhold.flows.peer_messages import FlowHeld, FlowNotHeld
 from cranberryhold.flows.peers import Peers
@@ -151,7 +151,9 @@
             )
         candidates = []
         if services != []:
-            candidates = self._peers.candidates_for_search(key, services)
+            candidates = self._peers.candidates_for_search(
+                key, services, candidates_that_fit(len(packet))
+            )
         if not candidates:
             self._telemetry.count("packets_discarded")
             self._telemetry.flow_event(
--- a/src/cranberryhold/flows/envelope.py
+++ b/src/cranberryhold/flows/envelope.py
@@ -11,13 +11,17 @@
 from msgspec import Struct
 
 MAGIC = 0xC7
-# A whole candidate list and the longest packet together fit an Ethernet frame.
-MAX_CANDIDATES = 50
+# One bit for each in the field that marks the unsure ones.
+MAX_CANDIDATES = 120
+# What an Ethernet frame carries in a UDP datagram.
+MAX_DATAGRAM_BYTES = 1472
 NO_CANDIDATE = 0xFF
 MAX_LOAD = 0xFF
 TAG_BYTES = 4
 
-_FIXED = struct.Struct("!BBBB4s4sQBB?")
+_UNSURE_BYTES = MAX_CANDIDATES // 8
+_ADDRESS_BYTES = 4
+_FIXED = struct.Struct(f"!BBBB4s4s{_UNSURE_BYTES}sBB?")
 
 
 class Purpose(IntEnum):
@@ -71,7 +75,7 @@
             len(self.candidates),
             self.origin,
             self.service,
-            self.unsure,
+            self.unsure.to_bytes(_UNSURE_BYTES, "big"),
             self.best,
             self.best_load,
             self.complete,
@@ -100,7 +104,7 @@
         load,
         complete,
     ) = _FIXED.unpack_from(datagram)
-    end = _FIXED.size + 4 * count
+    end = _FIXED.size + _ADDRESS_BYTES * count
     if (
         not Purpose.OPEN <= purpose <= Purpose.DIRECT
         or not 0 < count <= MAX_CANDIDATES
@@ -110,7 +114,8 @@
     ):
         return None
     candidates = tuple(
-        datagram[start : start + 4] for start in range(_FIXED.size, end, 4)
+        datagram[start : start + _ADDRESS_BYTES]
+        for start in range(_FIXED.size, end, _ADDRESS_BYTES)
     )
     return Envelope(
         Purpose(purpose),
@@ -119,13 +124,19 @@
         service,
         candidates,
         datagram[end:],
-        unsure,
+        int.from_bytes(unsure, "big"),
         best,
         load,
         complete,
     )
 
 
+def candidates_that_fit(packet_bytes: int) -> int:
+    """Return how many candidates fit beside a packet of this length."""
+    left = MAX_DATAGRAM_BYTES - _FIXED.size - packet_bytes
+    return min(MAX_CANDIDATES, left // _ADDRESS_BYTES)
+
+
 def service_tag(service: str) -> bytes:
     """Return the 4 bytes that stand for a service's name between members."""
     return blake2b(service.encode(), digest_size=TAG_BYTES).digest()
--- a/src/cranberryhold/flows/peers.py
+++ b/src/cranberryhold/flows/peers.py
@@ -1,10 +1,10 @@
 """The other members, as far as this process has heard of them."""
 
 from collections.abc import Callable, Iterable
+from math import inf
 
 from msgspec import Struct
 
-from cranberryhold.flows.envelope import MAX_CANDIDATES
 from cranberryhold.flows.peer_messages import (
     MAX_LISTED_PEERS,
     EntryStatus,
@@ -13,7 +13,7 @@
     SidecarStatus,
 )
 from cranberryhold.flows.rendezvous import rendezvous_order
-from cranberryhold.flows.target_state import NO_SERVICE, NO_TARGET
+from cranberryhold.flows.target_state import NO_SERVICE
 
 # Bytes per second that a member spends on its statuses at the most.
 STATUS_BUDGET_BYTES_S = 8_000
@@ -62,18 +62,13 @@
 
     def may_hold_flows_s(self) -> float:
         """Return for how many seconds of silence its target may hold flows."""
-        if self.status.service in (NO_SERVICE, NO_TARGET):
+        if self.status.service == NO_SERVICE:
             return HOLDS_NO_FLOWS_AFTER_S
         return HOLDS_FLOWS_AFTER_S
 
     def may_serve(self, services: list[bytes] | None) -> bool:
-        """Whether its target may hold flows of these services; None for all.
-
-        A status may be older than the target that it doesn't name.
-        """
-        if services is None:
-            return True
-        return self.status.service in (*services, NO_SERVICE, NO_TARGET)
+        """Whether its target may hold flows of these services; None for all."""
+        return services is None or self.status.service in (*services, NO_SERVICE)
 
     def cost(self, zone: str) -> tuple[bool, float]:
         """Return how little it suits for a new flow; the lowest is best."""
@@ -135,15 +130,14 @@
         self._own_ip = own_ip
         self._zone = zone
         self._monotonic = monotonic
-        # Since when this process has been running without a pause.
-        self._awake_since = monotonic()
+        self._started_at = monotonic()
+        # When this process went on after a pause.
+        self._resumed_at = -inf
         self._list_read = False
         self._entries: dict[bytes, EntryPeer] = {}
         # Entry instances of the own zone that said they end, and when.
         self._departed: dict[bytes, float] = {}
         self._sidecars: dict[bytes, SidecarPeer] = {}
-        # Sidecars that were not heard since this process was paused.
-        self._unconfirmed: set[bytes] = set()
         # Members that were named by others and not heard yet, and since when.
         self._listed_entries: dict[bytes, float] = {}
         self._listed_sidecars: dict[bytes, float] = {}
@@ -193,7 +187,6 @@
         now = self._monotonic()
         peer = self._sidecars.get(ip)
         self._listed_sidecars.pop(ip, None)
-        self._unconfirmed.discard(ip)
         if peer is None:
             self._sidecars[ip] = SidecarPeer(ip, status, now)
             return True
@@ -247,14 +240,12 @@
         """Take note that this process did not run for some time.
 
         Silence during that time says nothing about the others. What is known of
-        them is as old as the pause, so that no search is complete until all have
-        been heard again.
+        them is as old as the pause, so that no search is complete until all that
+        live have been heard again.
         """
         for peer in self._sidecars.values():
             peer.heard_at += seconds
-        self._unconfirmed = set(self._sidecars)
-        self._awake_since = self._monotonic()
-        self._list_read = False
+        self._resumed_at = self._monotonic()
 
     def forget_silent(self) -> list[bytes]:
         """Forget members that were not heard for long, and return them."""
@@ -299,18 +290,20 @@
         return sorted(accepting, key=lambda peer: peer.cost(self._zone))
 
     def candidates_for_search(
-        self, key: bytes, services: list[bytes] | None
+        self, key: bytes, services: list[bytes] | None, most: int
     ) -> list[bytes]:
-        """Return the sidecars to ask for a flow, the likeliest first.
+        """Return the sidecars to ask for a flow, one zone after the other.
 
         A sidecar that has not heard its target yet may hold any flow.
 
         :param services: tags of the services where the flow may be; None for all.
+        :param most: how many may be asked.
         """
-        found = [peer for peer in self._reachable() if peer.may_serve(services)]
-        order = self._nearest(key, found, MAX_CANDIDATES)
-        order.sort(key=lambda peer: peer.status.service == NO_TARGET)
-        return [peer.ip for peer in order]
+        found = {p.ip: p for p in self._reachable() if p.may_serve(services)}
+        by_zone: dict[str, list[bytes]] = {self._zone: []}
+        for ip in rendezvous_order(key, found):
+            by_zone.setdefault(found[ip].status.zone, []).append(ip)
+        return [ip for zone in by_zone.values() for ip in zone][:most]
 
     def search_is_complete(self, services: list[bytes] | None, candidates: int) -> bool:
         """Whether the candidates of a search are all that may hold the flow."""
@@ -318,26 +311,25 @@
         if (
             services is None
             or not self._listed_all(now)
+            or now - self._resumed_at <= self._silence_s()
             or any(
                 now - since < LISTED_ANSWERS_WITHIN_S
                 for since in self._listed_sidecars.values()
             )
         ):
             return False
-        living = [
+        holders = [
             peer
             for peer in self._sidecars.values()
             if now - peer.heard_at < peer.may_hold_flows_s()
+            and peer.may_serve(services)
         ]
-        holders = [peer for peer in living if peer.may_serve(services)]
-        return (
-            len(holders) == candidates
-            and all(self.is_heard(peer.ip) for peer in holders)
-            and not any(peer.ip in self._unconfirmed for peer in living)
+        return len(holders) == candidates and all(
+            self.is_heard(peer.ip) for peer in holders
         )
 
     def _listed_all(self, now: float) -> bool:
-        return self._list_read or now - self._awake_since > LEARN_MEMBERS_S
+        return self._list_read or now - self._started_at > LEARN_MEMBERS_S
 
     def _silence_s(self) -> float:
         interval = status_interval_s(SIDECAR_STATUS_INTERVAL_S, len(self._entries) + 1)
