--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -7,7 +7,7 @@
 import sys
 from pathlib import Path
 
-from tools.capacity_parts import events, roles
+from tools.capacity_parts import events, flow_path, roles
 from tools.capacity_parts.markdown import Figure, plain_table, role_table, text, wrapped
 from tools.capacity_parts.model import Model
 from tools.capacity_parts.sizes import (
@@ -53,6 +53,7 @@
         "## Data centres and regions\n\n" + events.large_events(largest),
         "## Restarts and the steady day\n\n" + events.replacement(largest),
         "## Store outages\n\n" + events.outage(largest),
+        "## On the users' platform\n\n" + flow_path.section(largest.site),
         "## Slopes\n\n" + _slope_table(slopes),
     ]
     return wrapped("\n\n".join(sections))
@@ -62,14 +63,19 @@
     return f"""# Capacity
 
 This page is written by `python -m tools.capacity` from `docs/slopes.json`, which
-`{command}` recorded on one machine. Each figure is a slope times a size; the last table
-shows the points of each slope. Change neither figures nor text here.
+`{command}` recorded on one machine, and from `docs/sweep.json`. Each figure is a slope
+times a size; the last table shows the points of each slope. Change neither figures nor
+text here.
 
 Costs that grow with the logarithm of the members were measured in clusters of 32 to
 256 members in one process and in virtual time, and are extrapolated to 7,430 members.
 Processor times are those of the measuring machine. No rates are given for the sites of
 today (13 members each): theirs are those of the two-year size in proportion to
 members, services and flows.
+
+The two-year size that the page answers: 930 daemons on entry machines and 6,500
+targets with a sidecar each (7,430 members), 650 service addresses, 9 million flows and
+59,000 new flows a second, in 2 regions with 8 data centres.
 """
 
 
--- /dev/null
+++ b/tools/capacity_parts/flow_path.py
@@ -0,0 +1,102 @@
+"""The daemons of the users' platform: what was measured, and what their size costs."""
+
+import json
+from pathlib import Path
+
+from cranberryhold.flows.announcement import (
+    LEASE_TTL_S,
+    LIST_INTERVAL_S,
+    RENEWALS_PER_TTL,
+)
+from cranberryhold.flows.envelope import MAX_CANDIDATES
+from cranberryhold.flows.peers import (
+    ENTRY_STATUS_INTERVAL_S,
+    FORGET_AFTER_S,
+    MISSED_STATUSES,
+    SIDECAR_STATUS_INTERVAL_S,
+    STATUS_BYTES,
+    status_interval_s,
+)
+from tools.capacity_parts.markdown import plain_table, text
+from tools.capacity_parts.sizes import BYTES_PER_SECOND_LIMIT, Site
+from tools.slopes import RECORDED
+
+SWEEP = RECORDED.parent / "sweep.json"
+
+
+def section(site: Site, recorded: Path = SWEEP) -> str:
+    """Return the section for a size.
+
+    :param recorded: figures of the sweep, as the users' bench printed them.
+    """
+    sweep = json.loads(recorded.read_text())
+    sizes = ", ".join(str(n) for n in sweep["machines"])
+    rows = [
+        (name, *(f"{value:g}" for value in values), f"{extended:g}")
+        for name, values, extended in sweep["rows"]
+    ]
+    columns = (
+        "busiest daemon",
+        *(f"{n} machines" for n in sweep["machines"]),
+        f"{sweep['target']}, extended",
+    )
+    served = ", ".join(f"{share:.3f}" for share in sweep["served"])
+    worth = ", ".join(f"{share:.3f}" for share in sweep["worth"])
+    return f"""Measured by `{sweep["command"]}` on snapshot `{sweep["snapshot"]}` at
+{sizes} machines; the last column is the bench's own extension. Served: {served}. Worth:
+{worth}. No rule was broken.
+
+{plain_table(columns, rows)}
+
+{_control_table(site)}
+
+{_findings(site)}
+"""
+
+
+def _control_table(site: Site) -> str:
+    entries, sidecars = site.entries, site.targets
+    to_entries = status_interval_s(SIDECAR_STATUS_INTERVAL_S, entries)
+    to_all = status_interval_s(ENTRY_STATUS_INTERVAL_S, entries + sidecars)
+    heard_s = sidecars / to_entries + entries / to_all
+    members = entries + sidecars
+    rows = [
+        ("a sidecar's statuses to an entry daemon, one each", text(to_entries, "s")),
+        ("a silent sidecar is passed over after", text(_silence_s(site), "s")),
+        ("an entry daemon's statuses to a member, one each", text(to_all, "s")),
+        ("statuses that an entry daemon hears", text(heard_s, "1/s")),
+        ("the same in bytes", text(heard_s * STATUS_BYTES, "B/s")),
+        (
+            "renewals of leases at the store",
+            text(members * RENEWALS_PER_TTL / LEASE_TTL_S, "1/s"),
+        ),
+        ("lists read from the store", text(members / LIST_INTERVAL_S, "1/s")),
+    ]
+    return (
+        f"By formula, at {entries:,} daemons on entry machines and {sidecars:,} "
+        f"targets:\n\n{plain_table(('control traffic', 'at this size'), rows)}"
+    )
+
+
+def _silence_s(site: Site) -> float:
+    interval_s = status_interval_s(SIDECAR_STATUS_INTERVAL_S, site.entries)
+    return MISSED_STATUSES * interval_s
+
+
+def _findings(site: Site) -> str:
+    to_entries = status_interval_s(SIDECAR_STATUS_INTERVAL_S, site.entries)
+    heard = site.targets / to_entries * STATUS_BYTES
+    return f"""What does not fit on this path at the two-year size:
+
+- Every sidecar tells every entry daemon. An entry daemon hears {text(heard, "B/s")} of
+  statuses, above {text(BYTES_PER_SECOND_LIMIT, "B/s")}, and notices a silent sidecar
+  only after {text(_silence_s(site), "s")}; statuses of entry daemons come more rarely
+  than a member is forgotten ({text(FORGET_AFTER_S, "s")}). Mechanism that would carry
+  it: statuses to the entry daemons of the own zone, and a digest for each service
+  between zones.
+- A search lists at most {MAX_CANDIDATES} sidecars. A flow whose entry daemon has
+  changed is found only if its service has no more targets than that, and no reset is
+  sent for flows of a larger service. Mechanism: a sidecar tells all entry daemons of
+  the caller's zone of a flow that stays open, so that no search is needed.
+- Each member reads the whole list of members. Mechanism: a watch of the list, whose
+  cost is one call for each change."""
