--- a/emulator/flow_target.py
+++ b/emulator/flow_target.py
@@ -15,6 +15,7 @@
 from cranberryhold.flows.segments import Endpoint, Segment
 from cranberryhold.platform.packets import ACK, FIN, RST, SYN, PacketCodec
 from emulator.flow_packets import flow_packet, is_genuine, returned_packet
+from emulator.platform_files import MachinePorts
 
 HEARTBEAT_INTERVAL_S = 0.5
 # An acknowledgement that comes later is none.
@@ -25,20 +26,6 @@
 CONCURRENCY = 3
 
 
-@dataclass(frozen=True)
-class TargetPorts:
-    """Ports of a machine with a target.
-
-    :ivar target: where the target receives packets.
-    :ivar outbound: where its sidecar takes the target's packets.
-    :ivar heartbeats: where its sidecar takes heartbeats.
-    """
-
-    target: int
-    outbound: int
-    heartbeats: int
-
-
 class TargetObserver(Protocol):
     """Hears what targets see."""
 
@@ -77,7 +64,7 @@
         name: str,
         service: str,
         ip: str,
-        ports: TargetPorts,
+        ports: MachinePorts,
         *,
         born_ms: int,
         observer: TargetObserver,
--- a/tests/flow_site.py
+++ b/tests/flow_site.py
@@ -21,18 +21,11 @@
 from cranberryhold.platform.packets import PacketCodec
 from cranberryhold.platform.store import PlatformStore
 from emulator.metadata_store import MetadataStore, metadata_store
+from emulator.platform_files import CONFIGURATION_KEY, configuration_document
 from tests.flow_world import ACK, SYN, Lines, packet
 from tests.sockets import Peer, free_ports
 
-CONFIGURATION = json.dumps(
-    {
-        "version": 1,
-        "routes": [
-            {"name": "r", "host": "198.18.0.1", "prefix": "/443/", "service": "core"}
-        ],
-        "services": [{"name": "core"}],
-    }
-).encode()
+CONFIGURATION = configuration_document(1, "198.18.0.1", {443: "core"})
 # Room for a few test processes beside each other; ports are the same on all machines.
 _BASE = int(IPv4Address("127.80.0.0")) + (os.getpid() % 4000) * 16
 
@@ -246,5 +239,5 @@
     address = Address(machine_ip(14), free_ports(1)[0])
     telemetry = Telemetry("store", Lines(), lambda: 0.0)
     async with metadata_store(address, telemetry) as store, AsyncExitStack() as stack:
-        await store.put("op/config", CONFIGURATION)
+        await store.put(CONFIGURATION_KEY, CONFIGURATION)
         yield Site(stack, store, address)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -16,7 +16,8 @@
     is_system_reset,
     returned_packet,
 )
-from emulator.flow_target import FlowTarget, TargetPorts
+from emulator.flow_target import FlowTarget
+from emulator.platform_files import MachinePorts
 from tools.soak import promises as bounds
 from tools.soak.faults import plan_faults
 from tools.soak.promises import Promises, Request
@@ -44,7 +45,7 @@
 
 @pytest.fixture
 def target(promises):
-    ports = TargetPorts(1, 2, 3)
+    ports = MachinePorts(1, 2, 3, 4, 5, 6, 7)
     made = Target(
         "i-1", "core", "127.0.0.1", ports, born_ms=1, observer=promises, random=Random()
     )
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -144,7 +144,7 @@
         if memory_mb > MEMORY_LIMIT_MB:
             promises.break_promise(f"FAULT {machine.name} uses {memory_mb:.0f} MB")
     calls = sum(site.store.calls.values())
-    per_daemon_s = calls / len(site.machines) / _now_since(site)
+    per_daemon_s = calls / len(site.machines) / _seconds_since_start(site)
     if per_daemon_s > STORE_CALLS_PER_DAEMON_S:
         promises.break_promise(f"FAULT {per_daemon_s:.1f} store calls a second each")
 
@@ -168,7 +168,7 @@
     return int(fields[1]) * os.sysconf("SC_PAGE_SIZE") / 1e6
 
 
-def _now_since(site: Site) -> float:
+def _seconds_since_start(site: Site) -> float:
     return max(1.0, _now() - site.started_at)
 
 
--- a/tools/soak/site.py
+++ b/tools/soak/site.py
@@ -1,13 +1,11 @@
 """A site on loopback: daemons as processes, stand-ins for all they meet."""
 
 import asyncio
-import json
 import os
 import signal
 import time
 from collections.abc import AsyncIterator
 from contextlib import AsyncExitStack, asynccontextmanager
-from dataclasses import dataclass
 from ipaddress import IPv4Address
 from pathlib import Path
 from random import Random
@@ -15,9 +13,16 @@
 from cranberryhold.addresses import Address
 from cranberryhold.flows.telemetry import Telemetry
 from emulator.flow_callers import CallerHost
-from emulator.flow_target import FlowTarget, TargetPorts, service_endpoint
+from emulator.flow_target import HEARTBEAT_INTERVAL_S, FlowTarget, service_endpoint
 from emulator.metadata_store import MetadataStore, metadata_store
 from emulator.packet_router import PacketRouter
+from emulator.platform_files import (
+    CONFIGURATION_KEY,
+    GRACE_PERIOD_S,
+    MachinePorts,
+    configuration_document,
+    settings_file,
+)
 from emulator.stream_proxy import StreamProxy
 from tools.processes import Processes, RunningProcess, free_addresses, processes
 from tools.soak.promises import Promises
@@ -26,22 +31,10 @@
 SERVICES = ("core", "intake")
 SERVICE_IP = "198.18.0.1"
 CORE_PORT, INTAKE_PORT, PROBE_PORT = 443, 444, 445
-GRACE_PERIOD_S = 6.0
 # Loopback addresses of a run: a block for each process number.
 _FIRST_ADDRESS = int(IPv4Address("127.96.0.0"))
 _BLOCK, _BLOCKS = 256, 4096
-_CONFIGURATION_KEY = "op/config"
-
-
-@dataclass(frozen=True)
-class Ports:
-    """Ports that are the same on all machines."""
-
-    packets: int
-    internal: int
-    ready: int
-    store: int
-    target: TargetPorts
+MAX_SEEDS = 3
 
 
 class Machine:
@@ -96,7 +89,7 @@
         self._started = started
         self._base = _FIRST_ADDRESS + os.getpid() % _BLOCKS * _BLOCK
         ports = [a.port for a in free_addresses(7, self.ip(0))]
-        self.ports = Ports(*ports[:4], TargetPorts(*ports[4:]))
+        self.ports = MachinePorts(*ports)
         self._incarnations = 0
         self._changes = 0
         self._target_stacks: dict[str, AsyncExitStack] = {}
@@ -123,7 +116,17 @@
 
     async def _launch(self, machine: Machine) -> RunningProcess:
         path = self._directory / f"{machine.name}.json"
-        path.write_text(json.dumps(self._settings(machine)))
+        path.write_text(
+            settings_file(
+                machine.name,
+                machine.ip,
+                machine.zone,
+                machine.service,
+                self.ports,
+                seeds=[entry.ip for entry in self.entries[:MAX_SEEDS]],
+                heartbeat_interval_s=HEARTBEAT_INTERVAL_S,
+            )
+        )
         return await self._started.start(
             machine.name,
             "cranberryhold.platform",
@@ -173,7 +176,7 @@
             name or f"i-{self._incarnations}",
             machine.service,
             machine.ip,
-            self.ports.target,
+            self.ports,
             born_ms=time.time_ns() // 1_000_000,
             observer=self.promises,
             random=self.random,
@@ -198,54 +201,12 @@
         self.version += self.random.randint(1, 3)
         self._changes += 1
         service = SERVICES[self._changes % len(SERVICES)]
-        routes = ((CORE_PORT, "core"), (INTAKE_PORT, "intake"), (PROBE_PORT, service))
-        for port, allowed in routes:
+        routes = {CORE_PORT: "core", INTAKE_PORT: "intake", PROBE_PORT: service}
+        for port, allowed in routes.items():
             self.promises.allowed.setdefault(port, set()).add(allowed)
-        document = {
-            "version": self.version,
-            "routes": [
-                {
-                    "name": f"r{port}",
-                    "host": SERVICE_IP,
-                    "prefix": f"/{port}/",
-                    "service": name,
-                }
-                for port, name in routes
-            ],
-            "services": [{"name": name} for name in SERVICES],
-        }
         self.promises.version_written(self.version, service)
-        await self.store.put(_CONFIGURATION_KEY, json.dumps(document).encode())
-
-    def _settings(self, machine: Machine) -> dict[str, object]:
-        def at(port: int) -> str:
-            return f"{machine.ip}:{port}"
-
-        ports = self.ports
-        return {
-            "nodeName": machine.name,
-            "ip": machine.ip,
-            "zone": machine.zone,
-            "listenAddrs": {
-                "packetAddr": at(ports.packets),
-                "ready": at(ports.ready),
-                "controlPlane": at(ports.target.heartbeats),
-                "outbound": at(ports.target.outbound),
-            },
-            "internalPorts": [ports.internal, ports.internal],
-            "seedAddrs": [
-                f"{entry.ip}:{ports.target.heartbeats}" for entry in self.entries[:3]
-            ],
-            "heartbeatIntervalMs": 500,
-            "bounds": {
-                "gracePeriodS": GRACE_PERIOD_S,
-                "maxFlowS": 60,
-                "reuseAfterS": 2,
-            },
-            "platform": {"address": at(ports.store)},
-            "app": at(ports.target.target),
-            "service": machine.service,
-        }
+        document = configuration_document(self.version, SERVICE_IP, routes)
+        await self.store.put(CONFIGURATION_KEY, document)
 
 
 @asynccontextmanager
