--- a/tools/soak/site.py
+++ b/tools/soak/site.py
@@ -34,7 +34,7 @@
 # Loopback addresses of a run: a block for each process number.
 _FIRST_ADDRESS = int(IPv4Address("127.96.0.0"))
 _BLOCK, _BLOCKS = 256, 4096
-MAX_SEEDS = 3
+MAX_SEED_ADDRESSES = 3
 
 
 class Machine:
@@ -123,7 +123,7 @@
                 machine.zone,
                 machine.service,
                 self.ports,
-                seeds=[entry.ip for entry in self.entries[:MAX_SEEDS]],
+                seeds=[entry.ip for entry in self.entries[:MAX_SEED_ADDRESSES]],
                 heartbeat_interval_s=HEARTBEAT_INTERVAL_S,
             )
         )
