--- a/emulator/flow_target.py
+++ b/emulator/flow_target.py
@@ -4,7 +4,7 @@
 import json
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from random import Random
 from socket import AF_INET, SOCK_DGRAM, inet_aton, socket
 from typing import Protocol
@@ -44,7 +44,6 @@
     first: int
     is_open: bool = False
     is_closed: bool = False
-    answers: dict[int, bytes] = field(default_factory=dict)
 
 
 class FlowTarget:
@@ -176,15 +175,13 @@
             held.is_closed = True
             self._answer(segment, FIN | ACK, follows, end + 1)
         elif segment.length:
-            body = held.answers.setdefault(
-                segment.sequence, f"{segment.sequence}".encode()
-            )
             asyncio.get_running_loop().call_later(
-                self._random.uniform(*WORK_S), self._finish, segment, held, body
+                self._random.uniform(*WORK_S), self._finish, segment, held
             )
 
-    def _finish(self, segment: Segment, held: _Held, body: bytes) -> None:
+    def _finish(self, segment: Segment, held: _Held) -> None:
         if self.alive:
+            body = f"{segment.sequence}".encode()
             end = segment.sequence + segment.length
             self._answer(segment, ACK, held.first + 1, end, body)
 
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -114,7 +114,7 @@
 
 
 async def _check_recovery(promises: Promises) -> None:
-    if await _is_served(promises, "recovery", RECOVERY_S + CALM_CHECK_S):
+    if await _is_served(promises, "recovery", RECOVERY_S):
         began = _now()
         await asyncio.sleep(CALM_CHECK_S + ANSWERS_ARRIVE_WITHIN_S)
         calm = [r for r in promises.since(began) if r.sent_at < began + CALM_CHECK_S]
@@ -123,9 +123,12 @@
 
 
 async def _is_served(promises: Promises, when: str, limit_s: float) -> bool:
-    """Wait until all requests that were sent for some time are answered."""
+    """Wait until all requests that were sent for some time are answered.
+
+    :param limit_s: seconds after which that time must have begun.
+    """
     gives_up_at = _now() + limit_s
-    while _now() < gives_up_at + CALM_CHECK_S:
+    while _now() < gives_up_at:
         began = _now()
         await asyncio.sleep(CALM_CHECK_S)
         if promises.all_served(promises.since(began), when):
