Serve metrics from daemons without the ssl module

Cause: the flow daemons run with ssl disabled to start faster, and prometheus_client imports ssl, so every GET /metrics of a real process ended in a traceback and a closed connection. Tests read the page within their own process, which has ssl.

An exception in an HTTP handler is answered with 500, counted and logged. The soak reads the page of each daemon and checks that counters never fall.

Ruled out: importing ssl late. It works, but the first scrape would stop packet forwarding for the 70 ms of processor time of the import, 0.3 s at 0.236 cores.

--- a/src/cranberryhold/flows/http_server.py
+++ b/src/cranberryhold/flows/http_server.py
@@ -21,6 +21,7 @@
     400: "Bad Request",
     404: "Not Found",
     413: "Content Too Large",
+    500: "Internal Server Error",
     503: "Service Unavailable",
 }
 
@@ -66,7 +67,7 @@
             return
         connections[writer] = asyncio.current_task()
         try:
-            await _serve_connection(reader, writer, handler)
+            await _serve_connection(reader, writer, handler, telemetry)
         except asyncio.CancelledError:
             # asyncio would log the cancellation at shutdown as an unhandled error.
             if not closing:
@@ -142,7 +143,10 @@
 
 
 async def _serve_connection(
-    reader: asyncio.StreamReader, writer: asyncio.StreamWriter, handler: Handler
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+    handler: Handler,
+    telemetry: Telemetry,
 ) -> None:
     parser = _RequestParser()
     while True:
@@ -156,13 +160,28 @@
             await writer.drain()
             return
         for request, keep_alive in parser.requests:
-            writer.write(_encode(await handler(request), keep_alive=keep_alive))
+            response = await _handle(handler, request, telemetry)
+            writer.write(_encode(response, keep_alive=keep_alive))
             await writer.drain()
             if not keep_alive:
                 return
         parser.requests.clear()
 
 
+async def _handle(handler: Handler, request: Request, telemetry: Telemetry) -> Response:
+    try:
+        return await handler(request)
+    except Exception as error:
+        telemetry.count("http_handler_faults")
+        telemetry.flow_event(
+            "http-handler-fault",
+            level="ERROR",
+            path=request.path,
+            error=f"{type(error).__name__}: {error}",
+        )
+        return Response(500)
+
+
 def _encode(response: Response, *, keep_alive: bool) -> bytes:
     reason = _REASONS.get(response.status, "")
     head = (
--- a/src/cranberryhold/flows/metrics_page.py
+++ b/src/cranberryhold/flows/metrics_page.py
@@ -1,48 +1,58 @@
-"""The metrics of a flow daemon in the Prometheus text format."""
+"""The metrics of a flow daemon in the Prometheus text format.
 
-from collections.abc import Callable, Iterable, Mapping
+The format is version 0.0.4 of
+https://prometheus.io/docs/instrumenting/exposition_formats/. The client library is
+not used for it: importing it takes a tenth of a second of processor time, during which
+a small instance would forward no packets, and needs the ssl module.
+"""
 
-from cranberryhold.flows.telemetry import Telemetry
+from collections.abc import Callable, Iterator, Mapping
+
+from cranberryhold.flows.telemetry import Histogram, Telemetry
 
 CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 _PREFIX = "cranberryhold_"
 
 
-class _Collector:
-    def __init__(self, telemetry: Telemetry, gauges: Mapping[str, float]) -> None:
-        self._telemetry = telemetry
-        self._gauges = gauges
-
-    def collect(self) -> Iterable[object]:
-        from prometheus_client.core import (
-            CounterMetricFamily,
-            GaugeMetricFamily,
-            HistogramMetricFamily,
-        )
-
-        for name, total in sorted(self._telemetry.counts.items()):
-            yield CounterMetricFamily(_PREFIX + name, f"Number of {name}.", total)
-        for name, value in sorted(self._gauges.items()):
-            yield GaugeMetricFamily(_PREFIX + name, f"Present {name}.", value)
-        for name, histogram in sorted(self._telemetry.histograms.items()):
-            yield HistogramMetricFamily(
-                _PREFIX + name + "_seconds",
-                f"Duration of {name}.",
-                buckets=histogram.cumulative(),
-                sum_value=histogram.total_s,
-            )
-
-
 def metrics_page(
     telemetry: Telemetry, gauges: Callable[[], Mapping[str, float]]
 ) -> bytes:
     """Return the metrics page.
 
-    The library is imported on the first call: the import takes a tenth of a second
-    of processor time on a small instance, and most processes are never scraped.
+    Names contain only letters, digits and underscores, so nothing needs escaping.
     """
-    from prometheus_client import CollectorRegistry, generate_latest
+    lines: list[str] = []
+    for name, total in sorted(telemetry.counts.items()):
+        lines += _counter_lines(_PREFIX + name, name, total)
+    for name, value in sorted(gauges().items()):
+        lines += _gauge_lines(_PREFIX + name, name, value)
+    for name, histogram in sorted(telemetry.histograms.items()):
+        lines += _histogram_lines(f"{_PREFIX}{name}_seconds", name, histogram)
+    return "".join(f"{line}\n" for line in lines).encode()
+
+
+def _counter_lines(metric: str, name: str, total: int) -> Iterator[str]:
+    yield f"# HELP {metric}_total Number of {name}."
+    yield f"# TYPE {metric}_total counter"
+    yield f"{metric}_total {float(total)}"
+
+
+def _gauge_lines(metric: str, name: str, value: float) -> Iterator[str]:
+    yield f"# HELP {metric} Present {name}."
+    yield f"# TYPE {metric} gauge"
+    yield f"{metric} {_number(value)}"
+
+
+def _histogram_lines(metric: str, name: str, histogram: Histogram) -> Iterator[str]:
+    yield f"# HELP {metric} Duration of {name}."
+    yield f"# TYPE {metric} histogram"
+    rows = histogram.cumulative()
+    for bound, count in rows:
+        yield f'{metric}_bucket{{le="{bound}"}} {float(count)}'
+    yield f"{metric}_count {float(rows[-1][1])}"
+    yield f"{metric}_sum {histogram.total_s}"
+
 
-    registry = CollectorRegistry(auto_describe=False)
-    registry.register(_Collector(telemetry, gauges()))
-    return generate_latest(registry)
+def _number(value: float) -> str:
+    """Format a number; the format spells infinity ``+Inf``, unlike Python."""
+    return "+Inf" if value == float("inf") else str(float(value))
--- a/src/cranberryhold/flows/telemetry.py
+++ b/src/cranberryhold/flows/telemetry.py
@@ -140,7 +140,13 @@
         self._write(level, event, fields)
 
     def flow_event(
-        self, event: str, flow: bytes | None = None, /, **fields: object
+        self,
+        event: str,
+        flow: bytes | None = None,
+        /,
+        *,
+        level: str = "INFO",
+        **fields: object,
     ) -> None:
         """Log an event that traffic can trigger, within the rate limit of its kind.
 
@@ -158,7 +164,7 @@
             rate_limit.suppressed = 0
         if flow is not None:
             fields = {"flow": format_flow_key(flow), **fields}
-        self._write("INFO", event, fields)
+        self._write(level, event, fields)
 
     def _write(self, level: str, event: str, fields: dict[str, object]) -> None:
         now = time.time()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -21,6 +21,7 @@
 from tools.soak import invariants
 from tools.soak.faults import plan_faults
 from tools.soak.invariants import InvariantChecker, Request
+from tools.soak.pages import counters_of, fallen_counters
 from tools.soak.run import SiteSize, run_soak
 
 CALLER = Endpoint(inet_aton("100.64.0.7"), 40001)
@@ -171,6 +172,14 @@
         assert not checker.all_answered([], "")
 
 
+def test_counters_that_fall_or_vanish_are_found():
+    before = counters_of("cranberryhold_a_total 2.0\ncranberryhold_b_total 1.0\n")
+    assert before == {"cranberryhold_a_total": 2.0, "cranberryhold_b_total": 1.0}
+    after = counters_of("# TYPE x counter\ncranberryhold_a_total 3.0\n")
+    assert fallen_counters(before, after) == ["cranberryhold_b_total"]
+    assert fallen_counters(before, before) == []
+
+
 def test_a_seed_always_gives_the_same_faults():
     assert plan_faults(7, 20.0) == plan_faults(7, 20.0)
     assert plan_faults(7, 20.0) != plan_faults(8, 20.0)
--- a/tools/processes.py
+++ b/tools/processes.py
@@ -102,12 +102,21 @@
     ) -> RunningProcess:
         """Start ``python -m`` with these arguments.
 
+        :param environment: variables added to the inherited environment.
+        """
+        return await self.start_command(
+            name, sys.executable, "-m", *arguments, environment=environment
+        )
+
+    async def start_command(
+        self, name: str, *command: str, environment: dict[str, str] | None = None
+    ) -> RunningProcess:
+        """Start a program with its arguments.
+
         :param environment: variables added to the inherited environment.
         """
         process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            "-m",
-            *arguments,
+            *command,
             stdin=PIPE,
             stdout=PIPE,
             stderr=STDOUT,
--- a/tools/soak/invariants.py
+++ b/tools/soak/invariants.py
@@ -101,7 +101,8 @@
         for ip in ips or ("all",):
             self._disturbed_at[ip] = _now()
 
-    def _is_undisturbed(self, ip: str) -> bool:
+    def is_undisturbed(self, ip: str) -> bool:
+        """Whether a machine had no unplanned disturbance in the stable window."""
         latest = max(
             self._disturbed_at.get(ip, 0.0), self._disturbed_at.get("all", 0.0)
         )
@@ -134,7 +135,7 @@
     def packet_received(self, target: FlowTarget, key: bytes, *, is_own: bool) -> None:
         """Check whether the packets of a flow reach only other targets than its own."""
         holder = next((t for t in self.targets if t.holds(key)), None)
-        if is_own or holder is None or not self._is_undisturbed(holder.ip):
+        if is_own or holder is None or not self.is_undisturbed(holder.ip):
             self._misroutings.pop(key, None)
             return
         misrouting = self._misroutings.setdefault(key, _Misrouting(_now()))
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -19,6 +19,7 @@
     generate_short_flows,
     probe_configuration,
 )
+from tools.soak.pages import watch_page
 from tools.soak.site import Site, running_site
 
 START_TIMEOUT_S = 20.0
@@ -94,6 +95,8 @@
                     probe_configuration(site, site.callers[0], entry, checker)
                 )
             )
+        for machine in site.machines:
+            tasks.append(group.create_task(watch_page(machine, checker)))
         yield
         for task in tasks:
             task.cancel()
--- a/tools/soak/site.py
+++ b/tools/soak/site.py
@@ -61,6 +61,7 @@
         self.target: FlowTarget | None = None
         self.store_proxy: StreamProxy
         self.disturbances = 0
+        self.stopping = False
         self.processes: list[RunningProcess] = []
         self.start_lock = asyncio.Lock()
 
@@ -121,6 +122,7 @@
         """Start the daemon of a machine unless it is running."""
         async with machine.start_lock:
             if machine.process is None:
+                machine.stopping = False
                 machine.processes.append(await self._launch(machine))
 
     async def _launch(self, machine: Machine) -> RunningProcess:
@@ -154,6 +156,7 @@
         if process is None:
             return
         started_at = time.monotonic()
+        machine.stopping = True
         process.signal(signal.SIGTERM)
         code = await process.wait_ended(2 * GRACE_PERIOD_S)
         took_s = time.monotonic() - started_at
