Fix faults of ended connections, cancelled runs and the flow cache

Causes, each with a test that failed first: - quic: a timer of aioquic may issue or retire a connection id after the connection was removed, which raised KeyError. - peer_requests: a malformed message ended the reader silently, and exchanges waited for their deadlines; the connection now ends and their outcome is unknown at once. - peer_requests: withdraw raised CancelledError after a cancelled connection attempt. - idempotent_execution: a cancelled run never ended its response stream. - flow_cache: at its limit the flow inserted first was evicted, so long flows lost their location first; now the flow unused for longest is. - test_pipeline: the test of an unknown class only tested the deadline; split in two.

Also removes the unused MemoryNetwork.largest_bytes, constant_impairment and the counter of the QUIC simulation, and names the size of a welcome.

--- a/src/cranberryhold/flows/flow_cache.py
+++ b/src/cranberryhold/flows/flow_cache.py
@@ -55,10 +55,11 @@
     """Bounded cache of the locations of flows that pass through this entry instance.
 
     A missing location costs a search and a wrong one costs a retransmission; neither
-    breaks a flow.
+    breaks a flow. At its limit, the flow that was unused for longest is removed.
     """
 
     def __init__(self) -> None:
+        # In the order of their last use.
         self._flows: dict[bytes, FlowLocation] = {}
 
     def __len__(self) -> int:
@@ -66,11 +67,14 @@
 
     def get(self, key: bytes) -> FlowLocation | None:
         """Return the location of a flow, or None."""
-        return self._flows.get(key)
+        location = self._flows.pop(key, None)
+        if location is not None:
+            self._flows[key] = location
+        return location
 
     def get_or_create(self, key: bytes, service: bytes, now: float) -> FlowLocation:
         """Return the location of a flow, creating it if it is missing."""
-        location = self._flows.get(key)
+        location = self.get(key)
         if location is None:
             if len(self._flows) >= MAX_FLOWS:
                 del self._flows[next(iter(self._flows))]
--- a/src/cranberryhold/idempotent_execution.py
+++ b/src/cranberryhold/idempotent_execution.py
@@ -72,8 +72,21 @@
             # Marks the exception as retrieved, in case the caller has disconnected.
             self._head.exception()
 
+    def interrupt(self, error: Exception) -> None:
+        """End the stream with an error at once, in place of queued chunks."""
+        if self._head.done():
+            self._clear()
+            if not self._is_abandoned:
+                self._chunks.put_nowait(error)
+        else:
+            self._head.set_exception(error)
+            self._head.exception()
+
     def abandon(self) -> None:
         self._is_abandoned = True
+        self._clear()
+
+    def _clear(self) -> None:
         while not self._chunks.empty():
             self._chunks.get_nowait()
 
@@ -153,6 +166,12 @@
         except CranberryholdError as error:
             self._table.mark_unknown(record)
             await stream.fail(error)
+        except asyncio.CancelledError:
+            self._table.mark_unknown(record)
+            stream.interrupt(
+                OutcomeUnknownError("the run was cancelled", step="run request")
+            )
+            raise
         except Exception as error:
             self._table.mark_unknown(record)
             unknown = OutcomeUnknownError(
--- a/src/cranberryhold/links.py
+++ b/src/cranberryhold/links.py
@@ -1,7 +1,6 @@
 """Links, which send and receive control datagrams over UDP or within a process."""
 
 import asyncio
-import random
 from collections.abc import Callable
 from typing import Protocol
 
@@ -145,7 +144,6 @@
 
     def __init__(self, impairment: Impairment) -> None:
         self.impairment = impairment
-        self.largest_bytes = 0
         self._links: dict[Address, MemoryLink] = {}
         self._rules: list[Callable[[Address, Address], bool]] = []
 
@@ -257,16 +255,3 @@
             await asyncio.sleep(0.2)
         await asyncio.sleep(delay)
         return decode_call(name, data)
-
-
-def constant_impairment(
-    rng: random.Random, loss: float, delay_s: float, jitter_s: float = 0.0
-) -> Impairment:
-    """Return an impairment with a constant loss rate and a jittered delay."""
-
-    def impairment(source: Address, target: Address) -> float | None:
-        if loss and rng.random() < loss:
-            return None
-        return delay_s + jitter_s * rng.random()
-
-    return impairment
--- a/src/cranberryhold/membership.py
+++ b/src/cranberryhold/membership.py
@@ -43,6 +43,9 @@
 """Members to which an update is gossiped at once. Four reach 98% of a cluster; probes
 carry it to the rest within about a second."""
 
+WELCOME_MEMBERS = 12
+"""Members that an instance which joins is told of, as far as they fit a datagram."""
+
 GOSSIP_DELAY_S = 0.02
 """Longest delay before updates are sent, so that one datagram carries several."""
 
@@ -442,7 +445,7 @@
         records = [encoded_record(self.local_member)] + [
             encoded_record(m) for m in newer
         ]
-        for member in self.live_peers.pick(self.rng, 12):
+        for member in self.live_peers.pick(self.rng, WELCOME_MEMBERS):
             records.append(encoded_record(member))
         while sum(map(len, records)) > max_bytes:
             records.pop()
--- a/src/cranberryhold/peer_requests.py
+++ b/src/cranberryhold/peer_requests.py
@@ -286,7 +286,16 @@
 
     async def _read(self) -> None:
         while True:
-            message = decode(await self._socket.recv())
+            try:
+                message = decode(await self._socket.recv())
+            except DecodeError as error:
+                # The message may have been part of any exchange, so none of them can
+                # be completed.
+                logger.warning(
+                    "event=passing-malformed peer={} error={!r}", self._peer, error
+                )
+                self._mark_lost()
+                return
             channel = self._channels.get(getattr(message, "exchange", 0))
             if channel is not None:
                 channel.deliver(message)
@@ -357,7 +366,7 @@
     def withdraw(self, peer: Member, offer_id: int) -> None:
         """Tell a peer that its offer will not be used."""
         connect_task = self._connections.get(peer_request_address(peer.control_address))
-        if connect_task and connect_task.done() and not connect_task.exception():
+        if connect_task and connect_task.done() and not _has_ended(connect_task):
             connect_task.result().send_in_background(WithdrawOffer(offer_id))
 
     @asynccontextmanager
--- a/src/cranberryhold/quic.py
+++ b/src/cranberryhold/quic.py
@@ -192,14 +192,20 @@
     def _add_connection_id(
         self, protocol: QuicConnectionProtocol, connection_id: bytes
     ) -> None:
+        connection_ids = self._connections.get(protocol)
+        if connection_ids is None:
+            # Timers of aioquic may still issue ids after the connection has ended.
+            return
+        connection_ids.add(connection_id)
         self._protocols_by_id[connection_id] = protocol
-        self._connections[protocol].add(connection_id)
 
     def _remove_connection_id(
         self, protocol: QuicConnectionProtocol, connection_id: bytes
     ) -> None:
-        self._protocols_by_id.pop(connection_id, None)
-        self._connections[protocol].discard(connection_id)
+        connection_ids = self._connections.get(protocol)
+        if connection_ids is not None and connection_id in connection_ids:
+            connection_ids.discard(connection_id)
+            self._protocols_by_id.pop(connection_id, None)
 
     def _remove_connection(self, protocol: QuicConnectionProtocol) -> None:
         for connection_id in self._connections.pop(protocol, ()):
--- a/tests/pipeline_fakes.py
+++ b/tests/pipeline_fakes.py
@@ -56,6 +56,7 @@
         self.finished: list[str] = []
         self.headers: tuple[tuple[str, str], ...] = ()
         self.error: Exception | None = None
+        self.seconds_between_chunks = 0.0
 
     @asynccontextmanager
     async def __call__(self, request: Request) -> AsyncIterator[Response]:
@@ -66,12 +67,13 @@
         await asyncio.sleep(float(request.header("x-seconds") or self.seconds))
         self.finished.append(request.path)
         text = f"{request.method} {request.path} ".encode() + body
-        yield Response(200, self.headers, _chunks(text, self.suffix))
+        yield Response(200, self.headers, self._chunks(text, self.suffix))
 
-
-async def _chunks(*parts: bytes) -> AsyncIterator[bytes]:
-    for part in parts:
-        yield part
+    async def _chunks(self, *parts: bytes) -> AsyncIterator[bytes]:
+        for part in parts:
+            yield part
+            if self.seconds_between_chunks:
+                await asyncio.sleep(self.seconds_between_chunks)
 
 
 class FakePeerNetwork:
--- a/tests/simulation.py
+++ b/tests/simulation.py
@@ -267,7 +267,6 @@
         self.members: dict[str, Member] = {}
         self.isolated: set[str] = set()
         self.peers: dict[str, FakePeerNetwork] = defaultdict(FakePeerNetwork)
-        self.misdelivered = 0
         self._last_number = 0
         self._tracking_tasks: list[asyncio.Task] = []
 
--- a/tests/test_flow_state.py
+++ b/tests/test_flow_state.py
@@ -146,6 +146,16 @@
             cache.get_or_create(key(number), CORE, 0.0)
         assert len(cache) == 10
 
+    def test_the_flow_unused_for_longest_is_evicted(self, monkeypatch):
+        # A long flow is inserted first and used often; new flows must not evict it.
+        monkeypatch.setattr(flow_cache, "MAX_FLOWS", 10)
+        cache = FlowCache()
+        cache.get_or_create(key(0), CORE, 0.0)
+        for number in range(1, 50):
+            assert cache.get(key(0)) is not None
+            cache.get_or_create(key(number), CORE, 0.0)
+        assert len(cache) == 10
+
     def test_idle_flows_are_removed(self):
         cache = FlowCache()
         cache.get_or_create(key(1), CORE, 0.0)
--- a/tests/test_idempotency.py
+++ b/tests/test_idempotency.py
@@ -102,6 +102,33 @@
     assert len(group.upstreams[0].started) == 1
 
 
+async def test_cancelled_run_ends_its_body_with_an_unknown_outcome() -> None:
+    # Without an error, the caller would take the part of the body for the whole.
+    group = TargetGroup(1, service)
+    key = await new_key(group.pipelines[0])
+    (upstream,) = group.upstreams
+    upstream.suffix = b"-" * 10
+    upstream.seconds_between_chunks = 1.0
+    async with group.pipelines[0](line_request(key)) as response:
+        assert await anext(response.body) == b"POST /lines x"
+        for task in group.pipelines[0]._executor._tasks:
+            task.cancel()
+        with pytest.raises(OutcomeUnknownError):
+            async with asyncio.timeout(10):
+                await anext(response.body)
+
+
+async def test_run_cancelled_before_its_response_gives_unknown() -> None:
+    group = TargetGroup(1, service)
+    key = await new_key(group.pipelines[0])
+    sending = asyncio.create_task(get_response(group.pipelines[0], line_request(key)))
+    await asyncio.sleep(0.05)
+    for task in group.pipelines[0]._executor._tasks:
+        task.cancel()
+    async with asyncio.timeout(10):
+        assert (await sending)[:2] == (502, "unknown")
+
+
 async def test_another_request_under_the_same_key_is_refused() -> None:
     group = TargetGroup(1, service)
     key = await new_key(group.pipelines[0])
--- a/tests/test_peer_requests.py
+++ b/tests/test_peer_requests.py
@@ -177,6 +177,36 @@
             await client.request_slot(member, "short")
 
 
+async def test_malformed_message_ends_the_connection_and_its_exchanges() -> None:
+    upstream = FakeUpstream(30)
+    async with (
+        running_peer(upstream) as (member, _, server),
+        PeerRequestClient(RING, SystemClock()) as client,
+    ):
+        sending = asyncio.create_task(send_request(client, member, post("/")))
+        await until(lambda: upstream.started)
+        (peer_id, _), *_ = server._tasks
+        await server._socket.send_multipart([peer_id, b"not a message"])
+        with pytest.raises(OutcomeUnknownError):
+            async with asyncio.timeout(5):
+                await sending
+        # The next exchange uses a new connection.
+        assert (await client.request_slot(member, "short")).offer_id
+
+
+async def test_withdrawal_after_a_cancelled_connection_attempt_is_ignored() -> None:
+    async with PeerRequestClient(RING, SystemClock()) as client:
+        control = Address(LOOPBACK_IP, 1)
+        member = Member("p", Role.SIDECAR, "z", "r", control, LOOPBACK)
+        asking = asyncio.create_task(client.request_slot(member, "short"))
+        await asyncio.sleep(0)
+        (connect_task,) = client._connections.values()
+        connect_task.cancel()
+        with pytest.raises(asyncio.CancelledError):
+            await asking
+        client.withdraw(member, 1)
+
+
 async def test_run_is_cancelled_when_the_forwarding_target_is_lost() -> None:
     upstream = FakeUpstream(30)
     async with running_peer(upstream) as (member, pipeline, server):
--- a/tests/test_pipeline.py
+++ b/tests/test_pipeline.py
@@ -53,13 +53,21 @@
     assert upstream.finished == []
 
 
-async def test_unknown_class_and_bad_deadline_are_refused_as_not_run() -> None:
+async def test_bad_deadline_is_refused_as_not_run() -> None:
     pipeline, upstream = single_target()
     bad = Request("GET", "/", (("cranberryhold-deadline-ms", "soon"),))
     assert (await get_response(pipeline, bad))[:2] == (400, "not-run")
     assert upstream.started == []
 
 
+async def test_request_of_no_class_is_refused_as_not_run() -> None:
+    group = TargetGroup(1, lambda: service(classes=(LONG,)))
+    request = Request("GET", "/prices")
+    response = await get_response(group.pipelines[0], request)
+    assert response[:2] == (404, "not-run")
+    assert group.upstreams[0].started == []
+
+
 async def test_key_is_issued_and_required() -> None:
     pipeline, upstream = single_target()
     status, _, key = await get_response(pipeline, Request("GET", IDEMPOTENCY_KEY_PATH))
--- a/tests/test_quic.py
+++ b/tests/test_quic.py
@@ -211,3 +211,18 @@
     assert counts["dropped_unknown"] == 8
     assert sidecar.state()["return_paths"] == 0
     assert sidecar.connections == 0
+
+
+async def test_ids_issued_or_retired_after_the_end_of_a_connection_are_ignored(
+    forwarded_sidecar: tuple,
+) -> None:
+    # aioquic's timers may fire once more after a connection has been removed.
+    open_client, _, sidecar, _ = forwarded_sidecar
+    async with open_client() as client:
+        assert (await client.get("/a"))[0] == 200
+        server = sidecar._server
+        (protocol,) = server.connections
+    await until(lambda: not server.connections)
+    protocol._connection_id_issued_handler(b"i" * 20)
+    assert not server.has_connection_id(b"i" * 20)
+    protocol._connection_id_retired_handler(b"i" * 20)
