Send statuses to other zones in turn, and read them in batches

Cause: at the large site (59 entry machines, 136 sidecars) 64% of the messages that daemons handle are statuses: each sidecar sent every entry daemon one every 0.66 s, each entry daemon sent all 194 others one every 2.2 s, and each woke its receiver.

Change: a decision module (status_schedule) that sends members of the zone a status in each round and the others in turn, within 5 kB/s. A status states when the next follows, which replaces the receiver's guess of its sender's rate; members of an older version are given 1 s. Entry daemons announce a port of their own for regular statuses and empty it every 50 ms; changes still go to the message port at once. The list of members is sent to a new process by members of its zone only.

Ruled out: a digest a zone, until a site needs it (CAPACITY.md); dropping statuses to other zones, as their targets take flows when a zone is full.

--- a/emulator/platform_files.py
+++ b/emulator/platform_files.py
@@ -62,7 +62,7 @@
                 "controlPlane": address(ports.heartbeats),
                 "outbound": address(ports.outbound),
             },
-            "internalPorts": [ports.internal, ports.internal],
+            "internalPorts": [ports.internal, ports.internal + 1],
             "seedAddrs": [f"{seed}:{ports.heartbeats}" for seed in seeds],
             "heartbeatIntervalMs": round(heartbeat_interval_s * 1000),
             "bounds": {
--- a/src/cranberryhold/flows/early_forwarding.py
+++ b/src/cranberryhold/flows/early_forwarding.py
@@ -28,8 +28,11 @@
     def apply_initial_state(self, state: BootstrapState) -> None:
         """Apply the first state that was read from the store."""
 
-    def send_status(self) -> int:
-        """Send the status of this member to the others, and return their number."""
+    def announce(self) -> None:
+        """Send the status of this member to all others."""
+
+    def read_statuses(self) -> None:
+        """Handle the regular statuses that have arrived."""
 
 
 def forward_while_loading(
@@ -63,12 +66,13 @@
         for fd in select.select(list(by_fd), [], [], POLL_INTERVAL_S)[0]:
             socket, handle = by_fd[fd]
             socket.read(handle)
+        core.read_statuses()
         try:
             state = states.get_nowait()
         except Empty:
             continue
         if state is not None:
             core.apply_initial_state(state)
-            core.send_status()
+            core.announce()
         adopted.set()
     return state
--- a/src/cranberryhold/flows/entry_core.py
+++ b/src/cranberryhold/flows/entry_core.py
@@ -23,6 +23,11 @@
 from cranberryhold.flows.route_table import RouteTable
 from cranberryhold.flows.segments import SegmentCodec
 from cranberryhold.flows.settings import MemberSettings
+from cranberryhold.flows.status_schedule import (
+    ENTRY_MAX_ROUNDS,
+    ENTRY_STATUS_INTERVAL_S,
+    StatusSchedule,
+)
 from cranberryhold.flows.telemetry import Telemetry
 from cranberryhold.flows.udp import UdpSocket, open_udp
 
@@ -67,7 +72,9 @@
             monotonic=time.monotonic,
             on_change=self._handle_adopted,
         )
+        self._schedule = StatusSchedule(ENTRY_STATUS_INTERVAL_S, ENTRY_MAX_ROUNDS)
         self._packet_socket: UdpSocket | None = None
+        self._status_socket: UdpSocket | None = None
         self._configured_at: float | None = None
         self._left_rotation = False
         self._sent_ready = False
@@ -104,6 +111,11 @@
                 open_udp(self._settings.peer_address, self._telemetry)
             )
             self._packet_socket = packet_socket
+            status_address = self._settings.status_address
+            if status_address is not None:
+                self._status_socket = stack.enter_context(
+                    open_udp(status_address, self._telemetry)
+                )
             self._member.attach(peer_socket, self._handle_message)
             self._member.add_seeds(self._settings.seeds)
             yield [
@@ -138,12 +150,32 @@
         configuration = self._routes.configuration
         return configuration.document if configuration else None
 
-    def send_status(self) -> int:
-        """Send the status of this instance to all members, and return their number."""
+    def read_statuses(self) -> None:
+        """Handle the regular statuses that have arrived since the last call."""
+        if self._status_socket is not None:
+            self._status_socket.read_all(self._member.receive)
+
+    def announce(self) -> None:
+        """Send the status of this instance to all members at once."""
         peers = self._member.peers
-        ips = [*peers.entry_ips(), *peers.sidecar_ips()]
-        self._member.send_all(ips, self._status())
-        return len(ips)
+        self._member.send_all(
+            [*peers.entry_ips(), *peers.sidecar_ips()], self._status()
+        )
+
+    def send_status(self) -> float:
+        """Send the status to the members whose turn it is.
+
+        :return: seconds until the next call is due.
+        """
+        peers = self._member.peers
+        turn = self._schedule.next_round(
+            peers.local_entry_ips(), [*peers.remote_entry_ips(), *peers.sidecar_ips()]
+        )
+        self._member.send_regular_status(turn.local, self._status(turn.interval_s))
+        self._member.send_regular_status(
+            turn.remote, self._status(turn.remote_interval_s)
+        )
+        return turn.interval_s
 
     def leave_rotation(self) -> None:
         """Report this instance as not ready from now on."""
@@ -200,13 +232,13 @@
                 self._datapath.record_not_held(ip, message)
             case SidecarStatus():
                 if self._member.peers.update_sidecar(ip, message):
-                    self._member.handle_new_peer(ip)
+                    self._member.handle_new_peer(ip, message.zone)
                     self._member.send(ip, self._status())
                 if self.is_ready() != self._sent_ready:
                     self._send_status_to_entries()
             case EntryStatus():
                 if self._member.peers.update_entry(ip, message):
-                    self._member.handle_new_peer(ip)
+                    self._member.handle_new_peer(ip, message.zone)
                     self._member.send(ip, self._status())
                 if message.version > self._routes.version:
                     self._notify_newer_version(ip, message.version)
@@ -218,12 +250,22 @@
                 Address.unpack(ip + port.to_bytes(2, "big")), version
             )
 
-    def _status(self) -> EntryStatus:
+    def _status(self, interval_s: float | None = None) -> EntryStatus:
+        """Return the status of this instance.
+
+        :param interval_s: seconds until the next status for the same receiver; None
+            for the longest possible.
+        """
+        if interval_s is None:
+            interval_s = self._schedule.longest_interval_s
+        status_address = self._settings.status_address
         return EntryStatus(
             self._member.process,
             self._settings.zone,
             self._routes.version,
             self.is_ready(),
+            round(interval_s * 1000),
+            status_address.port if status_address is not None else 0,
         )
 
     def _send_status_to(self, ips: list[bytes]) -> None:
--- a/src/cranberryhold/flows/entry_daemon.py
+++ b/src/cranberryhold/flows/entry_daemon.py
@@ -16,7 +16,6 @@
     serving_member_http,
     sweep_regularly,
 )
-from cranberryhold.flows.peers import ENTRY_STATUS_INTERVAL_S, status_interval_s
 from cranberryhold.flows.settings import RESTART_ONLY_PREFIXES, MemberSettings
 
 # The fabric stops sending after two failed probes, half a second apart; the rest
@@ -25,6 +24,8 @@
 # Reserved at the end of the time that the platform allows a process to stop.
 STOP_MARGIN_S = 0.7
 ROTATION_POLL_S = 0.1
+# Reading statuses in batches costs a fraction of waking up for each of them.
+STATUS_READ_INTERVAL_S = 0.05
 # If the status task wakes up this much later than due, the process was paused.
 PAUSE_THRESHOLD_S = 0.5
 
@@ -99,6 +100,7 @@
                     self._follower.run(store_revision),
                     self._components.announcer.run(),
                     self._broadcast_status(),
+                    self._read_statuses(),
                     sweep_regularly(self._member.sweep, self._core.sweep),
                     self._components.settings_watch.run(),
                 )
@@ -117,8 +119,7 @@
 
     async def _broadcast_status(self) -> None:
         while True:
-            receivers = self._core.send_status()
-            interval_s = status_interval_s(ENTRY_STATUS_INTERVAL_S, receivers)
+            interval_s = self._core.send_status()
             due = time.monotonic() + interval_s
             await asyncio.sleep(interval_s)
             late_s = time.monotonic() - due
@@ -126,6 +127,11 @@
                 self._telemetry.event("process-was-paused", seconds=round(late_s, 3))
                 self._member.peers.record_pause(late_s)
 
+    async def _read_statuses(self) -> None:
+        while True:
+            self._core.read_statuses()
+            await asyncio.sleep(STATUS_READ_INTERVAL_S)
+
     async def _leave_rotation(self) -> None:
         """Report unready, and forward until the fabric has stopped sending packets.
 
--- a/src/cranberryhold/flows/member.py
+++ b/src/cranberryhold/flows/member.py
@@ -107,15 +107,32 @@
             if ip != self._ip:
                 self._socket.send(datagram, ip, port)
 
-    def handle_new_peer(self, ip: bytes) -> None:
-        """Log a newly discovered process and send it the known members."""
+    def send_regular_status(self, ips: Iterable[bytes], message: PeerMessage) -> None:
+        """Send a status that its receivers may handle with some delay."""
+        if self._socket is None:
+            return
+        datagram = encode_message(message)
+        default_port = self._settings.peer_address.port
+        for ip in ips:
+            port = self._peers.status_port_of(ip, default_port)
+            self._socket.send(datagram, ip, port)
+
+    def handle_new_peer(self, ip: bytes, zone: str) -> None:
+        """Log a newly discovered process and send it the known members.
+
+        Members of another zone leave the latter to those of the zone, unless there
+        are none.
+
+        :param zone: data centre of the process.
+        """
         self._telemetry.event(
             "peer-joined",
             peer=inet_ntoa(ip),
             entries=len(self._peers.entries),
             sidecars=len(self._peers.sidecars),
         )
-        self.send(ip, self._peers.recent_peers())
+        if zone == self._settings.zone or not self._peers.has_entry_in(zone):
+            self.send(ip, self._peers.recent_peers())
 
     def add_seeds(self, seeds: Iterable[Address]) -> None:
         """Treat the seeds from the settings as members that may exist."""
--- a/src/cranberryhold/flows/peer_messages.py
+++ b/src/cranberryhold/flows/peer_messages.py
@@ -16,8 +16,17 @@
 FlowKey = Annotated[bytes, Meta(min_length=12, max_length=12)]
 
 
+# Interval of statuses from a process of a version that does not state it.
+DEFAULT_STATUS_INTERVAL_MS = 1000
+
+
 class _Message(Struct, array_like=True, frozen=True, gc=False):
-    """Base class of the messages; each class has its own tag on the wire."""
+    """Base class of the messages; each class has its own tag on the wire.
+
+    Fields are only ever added at the end and with a default, because members of
+    different versions run beside each other during an update. Decoders ignore
+    additional fields.
+    """
 
 
 class SidecarStatus(_Message, tag=1):
@@ -31,6 +40,8 @@
     :param running: number of requests that occupy a slot now.
     :param flows: number of flows that the target has not closed.
     :param cold: whether the target is still in its slow start.
+    :param interval_ms: time until the receiver is sent the next status, in
+        milliseconds.
     """
 
     process: int
@@ -41,6 +52,7 @@
     running: int
     flows: int
     cold: bool
+    interval_ms: int = DEFAULT_STATUS_INTERVAL_MS
 
 
 class EntryStatus(_Message, tag=2):
@@ -50,12 +62,18 @@
     :param zone: data centre of the instance.
     :param version: version of the configuration in effect, 0 for none.
     :param ready: whether it reports itself ready to the fabric.
+    :param interval_ms: time until the receiver is sent the next status, in
+        milliseconds.
+    :param status_port: UDP port where it receives regular statuses, 0 for the port
+        of all other messages.
     """
 
     process: int
     zone: str
     version: int
     ready: bool
+    interval_ms: int = DEFAULT_STATUS_INTERVAL_MS
+    status_port: int = 0
 
 
 class PeerList(_Message, tag=3):
--- a/src/cranberryhold/flows/peers.py
+++ b/src/cranberryhold/flows/peers.py
@@ -13,19 +13,14 @@
     SidecarStatus,
 )
 from cranberryhold.flows.rendezvous import rendezvous_order
+from cranberryhold.flows.status_schedule import silence_timeout_s
 from cranberryhold.flows.target_state import UNKNOWN_SERVICE
 
-# Upper bound of the bytes per second that a member sends as statuses.
-STATUS_BUDGET_BYTES_S = 8_000
-# Size of a status with its IP and UDP headers.
-STATUS_BYTES = 90
-SIDECAR_STATUS_INTERVAL_S = 0.25
-ENTRY_STATUS_INTERVAL_S = 1.0
-# A sidecar that misses this many statuses is sent no packets.
-MAX_MISSED_STATUSES = 4
 # Members are removed, and sent no more statuses, this long after their last message,
 # or after they were first listed if they never sent one.
 PEER_EXPIRY_S = 60.0
+# A member that sends statuses less often is removed after this many were missed.
+EXPIRY_STATUSES = 3
 # A member that the store or a peer lists answers within this time even if it restarts;
 # otherwise it has ended.
 LISTED_PEER_TIMEOUT_S = 4.0
@@ -61,6 +56,10 @@
     offered: int = 0
     restarting: bool = False
 
+    def silence_timeout_s(self) -> float:
+        """Return the seconds without a status after which it counts as silent."""
+        return silence_timeout_s(self.status.interval_ms / 1000)
+
     def holder_timeout_s(self) -> float:
         """Return the seconds without a status after which its target holds no flows."""
         if self.status.service == UNKNOWN_SERVICE:
@@ -114,11 +113,6 @@
         return self.ready == 0 or 2 * self.ready >= total
 
 
-def status_interval_s(min_interval_s: float, receivers: int) -> float:
-    """Return the seconds between statuses that keep within the byte budget."""
-    return max(min_interval_s, receivers * STATUS_BYTES / STATUS_BUDGET_BYTES_S)
-
-
 class Peers:
     """The other members that this process knows.
 
@@ -153,10 +147,28 @@
         """Sidecars that sent a status."""
         return self._sidecars
 
+    def local_entry_ips(self) -> list[bytes]:
+        """Return the entry instances of this zone, and those of an unknown zone."""
+        known = [p.ip for p in self._entries.values() if p.status.zone == self._zone]
+        return [*known, *self._listed_entries]
+
+    def remote_entry_ips(self) -> list[bytes]:
+        """Return the entry instances of the other zones."""
+        return [p.ip for p in self._entries.values() if p.status.zone != self._zone]
+
     def entry_ips(self) -> list[bytes]:
         """Return the addresses of the entry instances to send statuses to."""
         return [*self._entries, *self._listed_entries]
 
+    def has_entry_in(self, zone: str) -> bool:
+        """Whether an entry instance of a zone is known."""
+        return any(peer.status.zone == zone for peer in self._entries.values())
+
+    def status_port_of(self, ip: bytes, default: int) -> int:
+        """Return the port where a member takes regular statuses."""
+        entry = self._entries.get(ip)
+        return entry.status.status_port or default if entry is not None else default
+
     def sidecar_ips(self) -> list[bytes]:
         """Return the addresses of the sidecars to send statuses to."""
         return [*self._sidecars, *self._listed_sidecars]
@@ -233,12 +245,13 @@
     def rotation(self) -> Rotation:
         """Return the readiness of the other entry instances in the local zone."""
         now = self._monotonic()
-        interval = status_interval_s(
-            ENTRY_STATUS_INTERVAL_S, len(self._entries) + len(self._sidecars)
-        )
-        cutoff = now - MAX_MISSED_ENTRY_STATUSES * interval
         local = [p for p in self._entries.values() if p.status.zone == self._zone]
-        ready = sum(p.status.ready and p.last_seen >= cutoff for p in local)
+        ready = sum(
+            p.status.ready
+            and now - p.last_seen
+            <= MAX_MISSED_ENTRY_STATUSES * p.status.interval_ms / 1000
+            for p in local
+        )
         departed = [
             t for t in self._departed.values() if now - t < DEPARTED_RETENTION_S
         ]
@@ -261,7 +274,9 @@
         expired = []
         for known in (self._entries, self._sidecars):
             for ip in [
-                i for i, p in known.items() if now - p.last_seen > PEER_EXPIRY_S
+                i
+                for i, p in known.items()
+                if now - p.last_seen > _expiry_s(p.status.interval_ms / 1000)
             ]:
                 del known[ip]
                 expired.append(ip)
@@ -284,7 +299,7 @@
         peer = self._sidecars.get(ip)
         return (
             peer is not None
-            and self._monotonic() - peer.last_seen <= self._status_timeout_s()
+            and self._monotonic() - peer.last_seen <= peer.silence_timeout_s()
         )
 
     def candidates_for_new_flow(self, key: bytes, service: bytes) -> list[SidecarPeer]:
@@ -324,7 +339,7 @@
         if (
             services is None
             or not self._knows_all_members(now)
-            or now - self._resumed_at <= self._status_timeout_s()
+            or now - self._resumed_at <= self._longest_silence_s()
             or any(
                 now - since < LISTED_PEER_TIMEOUT_S
                 for since in self._listed_sidecars.values()
@@ -344,17 +359,17 @@
     def _knows_all_members(self, now: float) -> bool:
         return self._list_read or now - self._started_at > MEMBER_DISCOVERY_S
 
-    def _status_timeout_s(self) -> float:
-        interval = status_interval_s(SIDECAR_STATUS_INTERVAL_S, len(self._entries) + 1)
-        return MAX_MISSED_STATUSES * interval
+    def _longest_silence_s(self) -> float:
+        """Return the seconds within which every running sidecar sends a status."""
+        return max((p.silence_timeout_s() for p in self._sidecars.values()), default=0)
 
     def _reachable_or_all(self) -> list[SidecarPeer]:
         """Return the sidecars with a recent status, or all of them if none has one."""
-        cutoff = self._monotonic() - self._status_timeout_s()
+        now = self._monotonic()
         reachable = [
             peer
             for peer in self._sidecars.values()
-            if peer.last_seen >= cutoff and not peer.restarting
+            if now - peer.last_seen <= peer.silence_timeout_s() and not peer.restarting
         ]
         return reachable or list(self._sidecars.values())
 
@@ -368,3 +383,7 @@
         first = local[: count // 2]
         rest = [peer for peer in order if peer not in first]
         return (first + rest)[:count]
+
+
+def _expiry_s(interval_s: float) -> float:
+    return max(PEER_EXPIRY_S, EXPIRY_STATUSES * interval_s)
--- a/src/cranberryhold/flows/settings.py
+++ b/src/cranberryhold/flows/settings.py
@@ -4,7 +4,15 @@
 
 from cranberryhold.addresses import Address
 
-RESTART_ONLY_PREFIXES = ("name", "zone", "packet_", "peer_", "ready_", "metrics_")
+RESTART_ONLY_PREFIXES = (
+    "name",
+    "zone",
+    "packet_",
+    "peer_",
+    "ready_",
+    "metrics_",
+    "status_",
+)
 """Prefixes of the names of member settings that take effect only after a restart."""
 
 
@@ -24,6 +32,8 @@
     :param stop_limit_s: seconds after which the platform kills a process that was
         told to stop.
     :param max_flow_s: age in seconds after which the state of a flow may be removed.
+    :param status_address: where an entry instance receives regular statuses over UDP,
+        None for ``peer_address``.
     """
 
     name: str
@@ -36,6 +46,7 @@
     seeds: tuple[Address, ...]
     stop_limit_s: float
     max_flow_s: float
+    status_address: Address | None = None
 
 
 class FlowSidecarSettings(Struct, frozen=True):
--- a/src/cranberryhold/flows/sidecar_core.py
+++ b/src/cranberryhold/flows/sidecar_core.py
@@ -11,6 +11,11 @@
 from cranberryhold.flows.segments import SegmentCodec
 from cranberryhold.flows.settings import FlowSidecarSettings
 from cranberryhold.flows.sidecar_datapath import SidecarDatapath
+from cranberryhold.flows.status_schedule import (
+    SIDECAR_MAX_ROUNDS,
+    SIDECAR_STATUS_INTERVAL_S,
+    StatusSchedule,
+)
 from cranberryhold.flows.target_state import TargetState
 from cranberryhold.flows.telemetry import Telemetry
 from cranberryhold.flows.udp import UdpSocket, open_udp
@@ -53,6 +58,7 @@
         self._target_ip = inet_aton(settings.target_address.ip)
         self._packet_socket: UdpSocket | None = None
         self._outbound_socket: UdpSocket | None = None
+        self._schedule = StatusSchedule(SIDECAR_STATUS_INTERVAL_S, SIDECAR_MAX_ROUNDS)
         self._sent_accepts = False
 
     @property
@@ -104,11 +110,25 @@
         )
         self._member.add_seeds(settings.member.seeds)
 
-    def send_status(self) -> int:
-        """Send the target's status to all entry instances, and return their number."""
-        ips = self._member.peers.entry_ips()
-        self._member.send_all(ips, self._status())
-        return len(ips)
+    def announce(self) -> None:
+        """Send the target's status to all entry instances at once."""
+        self._member.send_all(self._member.peers.entry_ips(), self._status())
+
+    def send_status(self) -> float:
+        """Send the target's status to the entry instances whose turn it is.
+
+        :return: seconds until the next call is due.
+        """
+        peers = self._member.peers
+        turn = self._schedule.next_round(
+            peers.local_entry_ips(), peers.remote_entry_ips()
+        )
+        self._member.send_regular_status(turn.local, self._status(turn.interval_s))
+        if turn.remote:
+            self._member.send_regular_status(
+                turn.remote, self._status(turn.remote_interval_s)
+            )
+        return turn.interval_s
 
     def acceptance_changed(self) -> bool:
         """Whether acceptance of new flows changed since the last status was sent."""
@@ -160,12 +180,19 @@
     def _handle_message(self, ip: bytes, message: PeerMessage) -> None:
         if isinstance(message, EntryStatus):
             if self._member.peers.update_entry(ip, message):
-                self._member.handle_new_peer(ip)
+                self._member.handle_new_peer(ip, message.zone)
                 self._member.send(ip, self._status())
         elif not isinstance(message, SidecarStatus):
             self._telemetry.count("messages_unexpected")
 
-    def _status(self) -> SidecarStatus:
+    def _status(self, interval_s: float | None = None) -> SidecarStatus:
+        """Return the status of the target.
+
+        :param interval_s: seconds until the next status for the same receiver; None
+            for the longest possible.
+        """
+        if interval_s is None:
+            interval_s = self._schedule.longest_interval_s
         self._sent_accepts = self._datapath.accepts_flows()
         return SidecarStatus(
             self._member.process,
@@ -176,6 +203,7 @@
             self._datapath.flows.running,
             self._datapath.flows.unclosed,
             self._target.is_cold(boot_time()),
+            round(interval_s * 1000),
         )
 
     def _send_status_to(self, ips: list[bytes]) -> None:
--- a/src/cranberryhold/flows/sidecar_daemon.py
+++ b/src/cranberryhold/flows/sidecar_daemon.py
@@ -16,7 +16,6 @@
     serving_member_http,
     sweep_regularly,
 )
-from cranberryhold.flows.peers import SIDECAR_STATUS_INTERVAL_S, status_interval_s
 from cranberryhold.flows.settings import (
     SIDECAR_RESTART_ONLY_PREFIXES,
     FlowSidecarSettings,
@@ -136,17 +135,17 @@
             return Response(404)
         if isinstance(report, str):
             self._datapath.mark_target_ended(report)
-            self._core.send_status()
+            self._core.announce()
         elif self._datapath.record_heartbeat(report) is not BeatOutcome.REFRESHED or (
             self._core.acceptance_changed()
         ):
-            self._core.send_status()
+            self._core.announce()
         return Response(200, b"{}")
 
     async def _send_status(self) -> None:
         while True:
-            receivers = self._core.send_status()
-            await asyncio.sleep(status_interval_s(SIDECAR_STATUS_INTERVAL_S, receivers))
+            interval_s = self._core.send_status()
+            await asyncio.sleep(interval_s)
 
     async def _check_presence(self) -> None:
         """Detect a target that has ended without deregistering."""
@@ -158,12 +157,12 @@
                 if (listens is False and self._datapath.mark_target_absent()) or (
                     listens and self._datapath.presume_target(self._settings.service)
                 ):
-                    self._core.send_status()
+                    self._core.announce()
             await asyncio.sleep(PRESENCE_INTERVAL_S)
 
     async def _drain(self) -> None:
         self._datapath.stop_accepting()
-        self._core.send_status()
+        self._core.announce()
         await asyncio.sleep(MIN_DRAIN_S)
         polls = int(DRAIN_LIMIT_S / DRAIN_POLL_S)
         for _ in range(polls):
--- a/src/cranberryhold/flows/udp.py
+++ b/src/cranberryhold/flows/udp.py
@@ -10,6 +10,8 @@
 MAX_DATAGRAM_BYTES = 2048
 # Bounds the time for which other tasks of the process have to wait.
 MAX_BATCH = 64
+# Bounds the work of one call that empties a socket.
+MAX_BATCHES = 16
 # Buffers the packets of a few hundred milliseconds while the process is not running.
 RECEIVE_BUFFER_BYTES = 1 << 20
 
@@ -39,21 +41,29 @@
         """Return the file descriptor, for an event loop or a selector."""
         return self._sock.fileno()
 
-    def read(self, handler: Callable[[bytes, bytes], None]) -> None:
+    def read_all(self, handler: Callable[[bytes, bytes], None]) -> None:
+        """Call ``handler`` with all pending datagrams, see :meth:`read`."""
+        for _ in range(MAX_BATCHES):
+            if self.read(handler) < MAX_BATCH:
+                return
+
+    def read(self, handler: Callable[[bytes, bytes], None]) -> int:
         """Call ``handler`` with each pending datagram and its sender's packed address.
 
         Returns after one batch, so that other tasks can run.
+
+        :return: number of datagrams.
         """
         receive = self._sock.recvfrom
-        for _ in range(MAX_BATCH):
+        for number in range(MAX_BATCH):
             try:
                 datagram, sender = receive(MAX_DATAGRAM_BYTES)
             except BlockingIOError:
-                return
+                return number
             except OSError as error:
                 self._telemetry.count("receive_errors")
                 self._telemetry.flow_event("receive-failed", error=error)
-                return
+                return number
             try:
                 handler(datagram, socket.inet_aton(sender[0]))
             except Exception as error:
@@ -62,6 +72,7 @@
                 self._telemetry.flow_event(
                     "packet-fault", error=f"{type(error).__name__}: {error}"
                 )
+        return MAX_BATCH
 
 
 @contextmanager
--- a/src/cranberryhold/platform/settings.py
+++ b/src/cranberryhold/platform/settings.py
@@ -71,6 +71,7 @@
         seeds=tuple(_address(seed, "seedAddrs") for seed in settings.seed_addrs),
         stop_limit_s=settings.bounds.grace_period_s,
         max_flow_s=settings.bounds.max_flow_s,
+        status_address=_status_address(settings),
     )
 
 
@@ -87,6 +88,12 @@
     )
 
 
+def _status_address(settings: PlatformSettings) -> Address | None:
+    """Return the second of the internal ports, if there is one."""
+    first, last = settings.internal_ports
+    return Address(settings.ip, first + 1) if first < last else None
+
+
 def _listen_address(settings: PlatformSettings, name: str) -> Address:
     return _address(settings.listen_addrs.get(name, ""), f"listenAddrs.{name}")
 
--- a/tests/flow_simulation.py
+++ b/tests/flow_simulation.py
@@ -32,6 +32,7 @@
 SERVICE_IP = inet_aton("198.18.0.1")
 SERVICE_PORT = 443
 MAX_FLOW_S = 60.0
+STATUS_INTERVAL_MS = 250
 
 
 @dataclass
@@ -256,6 +257,7 @@
             datapath.flows.running,
             len(datapath.flows),
             False,
+            STATUS_INTERVAL_MS,
         )
 
     def enqueue(self, ip, kind, data):
--- a/tests/test_flow_daemons.py
+++ b/tests/test_flow_daemons.py
@@ -48,7 +48,7 @@
         site.store.error_status = 503
         second = await site.start_entry(4)
         second.member.add_seeds([Address(machine_ip(1), site.peer_port)])
-        second.send_status()
+        second.announce()
         await until(lambda: second.document() == CONFIGURATION)
         await until(lambda: second.member.peers.sidecars)
         site.send(4, SYN, 40001)
@@ -113,8 +113,11 @@
     def apply_initial_state(self, reading):
         self.readings.append(reading)
 
-    def send_status(self):
-        return 0
+    def announce(self):
+        pass
+
+    def read_statuses(self):
+        pass
 
 
 class TestEarlyForwarding:
--- a/tests/test_flow_peers.py
+++ b/tests/test_flow_peers.py
@@ -3,19 +3,20 @@
 from socket import inet_aton
 
 import pytest
+from msgspec import msgpack
 
 from cranberryhold.flows.envelope import service_tag
 from cranberryhold.flows.peer_messages import (
     EntryStatus,
     Leaving,
     SidecarStatus,
+    decode_message,
 )
 from cranberryhold.flows.peers import (
     HOLDER_TIMEOUT_S,
     MAX_NEW_FLOW_CANDIDATES,
     PEER_EXPIRY_S,
     Peers,
-    status_interval_s,
 )
 from cranberryhold.flows.rendezvous import rendezvous_order
 from cranberryhold.flows.target_state import NO_TARGET
@@ -46,6 +47,7 @@
             "running": 0,
             "flows": 0,
             "cold": False,
+            "interval_ms": 250,
         }
         return SidecarStatus(**{**values, **changes})
 
@@ -83,6 +85,17 @@
         clock.now += 2.0
         assert peers.candidates_for_search(key(1), [CORE], 50) == [self.ip(1)]
 
+    def test_a_sidecar_is_silent_only_after_its_own_interval(self):
+        # Sidecars of other zones send statuses less often, see status_schedule.
+        peers, clock = self.peers()
+        peers.update_sidecar(self.ip(1), self.sidecar(interval_ms=250))
+        peers.update_sidecar(self.ip(2), self.sidecar(zone="b", interval_ms=2000))
+        clock.now += 1.1
+        assert not peers.is_reachable(self.ip(1))
+        assert peers.is_reachable(self.ip(2))
+        clock.now += 3.5
+        assert not peers.is_reachable(self.ip(2))
+
     def test_statuses_missed_during_a_pause_do_not_count(self):
         peers, clock = self.peers()
         peers.update_sidecar(self.ip(1), self.sidecar())
@@ -187,6 +200,15 @@
         peers.update_sidecar(self.ip(2), self.sidecar())
         assert peers.search_is_complete([CORE], 1)
 
+    def test_a_member_with_rare_statuses_is_not_removed_between_them(self):
+        peers, clock = self.peers()
+        status = EntryStatus(1, "b", 1, True, interval_ms=60_000)
+        peers.update_entry(self.ip(1), status)
+        clock.now += 90
+        assert peers.remove_expired() == []
+        clock.now += 91
+        assert peers.remove_expired() == [self.ip(1)]
+
     def test_silent_members_are_removed(self):
         peers, clock = self.peers()
         peers.update_sidecar(self.ip(1), self.sidecar())
@@ -227,9 +249,15 @@
         assert peers.recent_peers().sidecars == (self.ip(2),)
 
 
-def test_the_status_interval_grows_with_the_number_of_receivers():
-    assert status_interval_s(0.25, 6) == 0.25
-    assert status_interval_s(0.25, 930) > 10
+def test_a_message_of_an_older_version_is_decoded_with_defaults():
+    # Fields that were added later are missing.
+    old = msgpack.encode([2, 7, "a", 3, True])
+    assert decode_message(old) == EntryStatus(7, "a", 3, True, 1000, 0)
+
+
+def test_a_message_of_a_newer_version_is_decoded_without_its_additional_fields():
+    new = msgpack.encode([2, 7, "a", 3, True, 500, 9, "additional"])
+    assert decode_message(new) == EntryStatus(7, "a", 3, True, 500, 9)
 
 
 def test_the_order_does_not_depend_on_the_order_of_the_input():
--- a/tools/capacity_parts/flow_path.py
+++ b/tools/capacity_parts/flow_path.py
@@ -9,13 +9,15 @@
     RENEWALS_PER_TTL,
 )
 from cranberryhold.flows.envelope import MAX_CANDIDATES
-from cranberryhold.flows.peers import (
+from cranberryhold.flows.status_schedule import (
+    ENTRY_MAX_ROUNDS,
     ENTRY_STATUS_INTERVAL_S,
-    MAX_MISSED_STATUSES,
-    PEER_EXPIRY_S,
+    SIDECAR_MAX_ROUNDS,
     SIDECAR_STATUS_INTERVAL_S,
     STATUS_BYTES,
-    status_interval_s,
+    StatusRound,
+    StatusSchedule,
+    silence_timeout_s,
 )
 from tools.capacity_parts.markdown import fmt, plain_table
 from tools.capacity_parts.sizes import BYTES_PER_SECOND_LIMIT, Site
@@ -56,22 +58,25 @@
 
 def _control_table(site: Site) -> str:
     entries, sidecars = site.entries, site.targets
-    entry_interval_s = status_interval_s(SIDECAR_STATUS_INTERVAL_S, entries)
-    member_interval_s = status_interval_s(ENTRY_STATUS_INTERVAL_S, entries + sidecars)
-    statuses_per_s = sidecars / entry_interval_s + entries / member_interval_s
     members = entries + sidecars
+    from_sidecar, from_entry = _rounds(site)
+    statuses_per_s = _received_per_s(site)
     rows = [
         (
-            "interval of a sidecar's statuses to an entry daemon",
-            fmt(entry_interval_s, "s"),
+            "interval of a sidecar's statuses to an entry daemon of its zone",
+            fmt(from_sidecar.interval_s, "s"),
         ),
         (
-            "a silent sidecar is skipped after",
-            fmt(_silence_limit_s(site), "s"),
+            "the same to another zone",
+            fmt(from_sidecar.remote_interval_s, "s"),
         ),
         (
-            "interval of an entry daemon's statuses to a member",
-            fmt(member_interval_s, "s"),
+            "a silent sidecar of the zone is skipped after",
+            fmt(silence_timeout_s(from_sidecar.interval_s), "s"),
+        ),
+        (
+            "interval of an entry daemon's statuses to a sidecar",
+            fmt(from_entry.remote_interval_s, "s"),
         ),
         ("statuses that an entry daemon receives", fmt(statuses_per_s, "1/s")),
         ("bytes of these statuses", fmt(statuses_per_s * STATUS_BYTES, "B/s")),
@@ -90,23 +95,38 @@
     )
 
 
-def _silence_limit_s(site: Site) -> float:
-    interval_s = status_interval_s(SIDECAR_STATUS_INTERVAL_S, site.entries)
-    return MAX_MISSED_STATUSES * interval_s
+def _rounds(site: Site) -> tuple[StatusRound, StatusRound]:
+    """Return the first round of a sidecar's statuses, and that of an entry daemon."""
+    local = [b""] * (site.entries // site.zones)
+    remote = [b""] * (site.entries - len(local))
+    sidecar = StatusSchedule(SIDECAR_STATUS_INTERVAL_S, SIDECAR_MAX_ROUNDS)
+    entry = StatusSchedule(ENTRY_STATUS_INTERVAL_S, ENTRY_MAX_ROUNDS)
+    others = [*remote, *([b""] * site.targets)]
+    return sidecar.next_round(local, remote), entry.next_round(local, others)
+
+
+def _received_per_s(site: Site) -> float:
+    """Return the statuses that an entry daemon receives in a second."""
+    from_sidecar, from_entry = _rounds(site)
+    received = 0.0
+    for members, turn in ((site.targets, from_sidecar), (site.entries, from_entry)):
+        local = members / site.zones
+        received += local / turn.interval_s
+        received += (members - local) / turn.remote_interval_s
+    return received
 
 
 def _findings(site: Site) -> str:
-    entry_interval_s = status_interval_s(SIDECAR_STATUS_INTERVAL_S, site.entries)
-    received = site.targets / entry_interval_s * STATUS_BYTES
+    from_sidecar, _ = _rounds(site)
+    received = _received_per_s(site) * STATUS_BYTES
+    silence_s = silence_timeout_s(from_sidecar.remote_interval_s)
     return f"""What does not fit on this path at the two-year size:
 
-- Every sidecar sends statuses to every entry daemon. An entry daemon receives
-  {fmt(received, "B/s")} of statuses, above {fmt(BYTES_PER_SECOND_LIMIT, "B/s")}, and
-  notices a silent sidecar only after {fmt(_silence_limit_s(site), "s")}; the
-  interval between statuses from an entry daemon to a member exceeds the time
-  after which a member expires ({fmt(PEER_EXPIRY_S, "s")}). Mechanism that would avoid
-  it: statuses only to the entry daemons of the same zone, and a digest for each service
-  between zones.
+- Every sidecar sends statuses to every entry daemon, those of other zones in turn.
+  An entry daemon receives {fmt(received, "B/s")} of statuses, above
+  {fmt(BYTES_PER_SECOND_LIMIT, "B/s")}, and notices a silent sidecar of another zone
+  only after {fmt(silence_s, "s")}. Mechanism that would avoid it: a digest for each
+  service between zones.
 - A search lists at most {MAX_CANDIDATES} sidecars. A flow whose entry daemon has
   changed is found only if its service has no more targets than that, and no reset is
   sent for flows of a larger service. Mechanism: a sidecar notifies all entry daemons
