Search once for lost flows, relieve full links, and stop in time

A target too young to have had a heartbeat acknowledged holds none; a FIN of a flow that nobody holds is reset; the entry daemon is told and does not search again. - Entry daemons with small links stay full after a burst of uploads, as callers send packets again that wait for seconds in front of the link. They now reset a share of new uploads, and leave the rotation under lasting overload if half of the zone stays. - Slowed entry daemons kept their share; they leave the rotation, too. - Sidecars read exact member lists at each start, most of the store's price at size; only the first list of an entry daemon has to be exact. - A SYN to an address without a route waited for the caller's time-out; its first copy is reset if the configuration is known to be the newest. - An entry daemon that stops counted polls, not time, and was killed at the end of its grace time on a slow instance. - Operators' reports, both shown by tests that failed: a drained target was offered new flows when its sidecar restarted and presumed it ready; a sidecar that fell silent right after its restart stopped counting as holder of its target's flows after 4 s.

--- a/src/cranberryhold/flows/adoption.py
+++ b/src/cranberryhold/flows/adoption.py
@@ -57,6 +57,10 @@
         """Version in effect, 0 before the first."""
         return self._routes.version
 
+    def confirm(self) -> None:
+        """Record that the store has no newer configuration than the one in effect."""
+        self._routes.confirm(self._monotonic())
+
     def adopt(self, document: bytes, **origin: object) -> None:
         """Put a document into effect if it holds a newer version.
 
--- a/src/cranberryhold/flows/announcement.py
+++ b/src/cranberryhold/flows/announcement.py
@@ -67,6 +67,11 @@
         self._lease: int | None = None
         self._entry_written = False
         self._revision = 0
+        # An entry instance must know all members before it may reset a flow. A sidecar
+        # needs entry instances only, which contact it themselves if it missed one; an
+        # exact list costs ten times as much.
+        self._needs_exact_list = entry.role == "entry"
+        self._list_read = False
 
     async def run(self) -> None:
         """Write the entry, renew its lease and read the members, until cancelled."""
@@ -77,7 +82,7 @@
             try:
                 await self._maintain_entry()
                 if loop.time() >= next_read_at:
-                    await self._read_members(may_be_stale=next_read_at > 0)
+                    await self._read_members()
                     next_read_at = loop.time() + MEMBERS_READ_INTERVAL_S
             except LeaseLostError:
                 self._telemetry.event("lease-lost", key=self._key, lease=self._lease)
@@ -125,10 +130,14 @@
                 )
                 return
 
-    async def _read_members(self, *, may_be_stale: bool) -> None:
-        items = await self._store.list_items(MEMBERS_PREFIX, may_be_stale=may_be_stale)
+    async def _read_members(self) -> None:
+        is_first = not self._list_read
+        items = await self._store.list_items(
+            MEMBERS_PREFIX, may_be_stale=not (is_first and self._needs_exact_list)
+        )
+        self._list_read = True
         own = next((item for item in items if item.key == self._key), None)
-        if may_be_stale and (own is None or own.value != self._value):
+        if not is_first and (own is None or own.value != self._value):
             # A stale list can lack the entry as well; the next write is then redundant
             # but harmless.
             self._telemetry.event("entry-missing", key=self._key)
--- a/src/cranberryhold/flows/configuration.py
+++ b/src/cranberryhold/flows/configuration.py
@@ -84,6 +84,7 @@
             )
         if result.item is not None:
             self._adopt_item(result.item)
+        self._adopter.confirm()
         return result.store_revision
 
     def _adopt_item(self, item: StoredItem) -> None:
--- a/src/cranberryhold/flows/entry_core.py
+++ b/src/cranberryhold/flows/entry_core.py
@@ -8,18 +8,22 @@
 
 from cranberryhold.addresses import Address
 from cranberryhold.flows.adoption import ConfigurationAdopter, ConfigurationSource
+from cranberryhold.flows.bulk_shedding import BulkShedding
 from cranberryhold.flows.early_forwarding import SocketHandler
 from cranberryhold.flows.entry_datapath import EntryDatapath
 from cranberryhold.flows.leased_store import BootstrapState
+from cranberryhold.flows.link_load import LinkLoad
 from cranberryhold.flows.member import Member
 from cranberryhold.flows.member_list import decode_members
 from cranberryhold.flows.peer_messages import (
     EntryStatus,
     FlowHeld,
+    FlowNotFound,
     FlowNotHeld,
     PeerMessage,
     SidecarStatus,
 )
+from cranberryhold.flows.rotation_guard import RotationGuard
 from cranberryhold.flows.route_table import RouteTable
 from cranberryhold.flows.segments import SegmentCodec
 from cranberryhold.flows.settings import MemberSettings
@@ -56,6 +60,7 @@
         self._telemetry = telemetry
         self._member = Member(settings, telemetry, on_discovered=self._send_status_to)
         self._routes = RouteTable(settings.max_flow_s)
+        self._link = LinkLoad(settings.link_bytes_s)
         self._datapath = EntryDatapath(
             self._member.ip,
             self._routes,
@@ -64,6 +69,8 @@
             self,
             telemetry,
             monotonic=time.monotonic,
+            link=self._link,
+            shedding=BulkShedding(self._member.random),
         )
         self._adopter = ConfigurationAdopter(
             source,
@@ -78,6 +85,7 @@
         self._configured_at: float | None = None
         self._left_rotation = False
         self._sent_ready = False
+        self._guard = RotationGuard(self._member.random)
         self._on_newer_version: Callable[[Address, int], None] | None = None
 
     @property
@@ -129,6 +137,7 @@
         if state.configuration is not None:
             item = state.configuration
             self._adopter.adopt(item.value, source="store", revision=item.revision)
+        self._adopter.confirm()
 
     def apply_settings(self, settings: MemberSettings) -> None:
         """Apply changed settings, except the addresses of open sockets."""
@@ -189,10 +198,35 @@
         self._left_rotation = True
         self._send_status_to_entries()
 
+    def check_overload(self, lateness_s: float) -> None:
+        """Leave the rotation under lasting overload, and return after it.
+
+        :param lateness_s: how late a timer of the event loop fired, in seconds.
+        """
+        now = time.monotonic()
+        utilization = self._link.lasting_utilization(now)
+        rotation = self._member.peers.rotation
+        changed = self._guard.update(
+            utilization=utilization,
+            lateness_s=lateness_s,
+            may_leave=self.is_ready() and rotation().keeps_half(),
+            now=now,
+        )
+        if changed:
+            self._telemetry.event(
+                "rotation-overload",
+                in_rotation=self._guard.in_rotation,
+                utilization=round(utilization, 3),
+                late_s=round(lateness_s, 3),
+            )
+            self._send_status_to_entries()
+
     def is_ready(self) -> bool:
         """Whether the fabric should send packets here."""
         if self._left_rotation or self._configured_at is None:
             return False
+        if not self._guard.in_rotation:
+            return False
         waited = time.monotonic() - self._configured_at
         return bool(self._member.peers.sidecars) or waited > TARGET_DISCOVERY_S
 
@@ -212,6 +246,7 @@
             "entries": len(self._member.peers.entries),
             "sidecars": len(self._member.peers.sidecars),
             "configuration_version": self._routes.version,
+            "link_utilization": self._link.utilization(time.monotonic()),
         }
 
     def send_to_sidecar(self, ip: bytes, datagram: bytes) -> None:
@@ -219,6 +254,11 @@
         if self._packet_socket is not None:
             self._packet_socket.send(datagram, ip, self._settings.packet_address.port)
 
+    def send_to_caller(self, ip: bytes, packet: bytes) -> None:
+        """Send a packet to a caller."""
+        if self._packet_socket is not None:
+            self._packet_socket.send(packet, ip, self._settings.packet_address.port)
+
     def _handle_packet(self, packet: bytes, _sender: bytes) -> None:
         started = time.perf_counter()
         self._datapath.handle_caller_packet(packet)
@@ -230,6 +270,8 @@
                 self._datapath.record_held(ip, message)
             case FlowNotHeld():
                 self._datapath.record_not_held(ip, message)
+            case FlowNotFound():
+                self._datapath.record_not_found(message)
             case SidecarStatus():
                 if self._member.peers.update_sidecar(ip, message):
                     self._member.handle_new_peer(ip, message.zone)
@@ -240,6 +282,7 @@
                 if self._member.peers.update_entry(ip, message):
                     self._member.handle_new_peer(ip, message.zone)
                     self._member.send(ip, self._status())
+                self._routes.record_known_version(message.version)
                 if message.version > self._routes.version:
                     self._notify_newer_version(ip, message.version)
 
--- a/src/cranberryhold/flows/entry_daemon.py
+++ b/src/cranberryhold/flows/entry_daemon.py
@@ -22,7 +22,7 @@
 # covers packets in flight.
 FORWARD_AFTER_UNREADY_S = 1.3
 # Reserved at the end of the time that the platform allows a process to stop.
-STOP_MARGIN_S = 0.7
+STOP_MARGIN_S = 1.0
 ROTATION_POLL_S = 0.1
 # Reading statuses in batches costs a fraction of waking up for each of them.
 STATUS_READ_INTERVAL_S = 0.05
@@ -130,7 +130,9 @@
     async def _read_statuses(self) -> None:
         while True:
             self._core.read_statuses()
+            due = time.monotonic() + STATUS_READ_INTERVAL_S
             await asyncio.sleep(STATUS_READ_INTERVAL_S)
+            self._core.check_overload(time.monotonic() - due)
 
     async def _leave_rotation(self) -> None:
         """Report unready, and forward until the fabric has stopped sending packets.
@@ -138,16 +140,16 @@
         Waits until the zone can spare this instance, at most as long as the stop
         limit allows.
         """
-        max_wait_s = (
-            self._core.settings.stop_limit_s - FORWARD_AFTER_UNREADY_S - STOP_MARGIN_S
-        )
-        polls = max(0, int(max_wait_s / ROTATION_POLL_S))
-        for _ in range(polls):
+        latest_exit = time.monotonic() + self._core.settings.stop_limit_s
+        latest_exit -= STOP_MARGIN_S
+        latest_leave = latest_exit - FORWARD_AFTER_UNREADY_S
+        while time.monotonic() < latest_leave:
             if self._member.peers.rotation().tolerates_withdrawal():
                 break
             await asyncio.sleep(ROTATION_POLL_S)
         self._core.leave_rotation()
-        await asyncio.sleep(FORWARD_AFTER_UNREADY_S)
+        left_s = latest_exit - time.monotonic()
+        await asyncio.sleep(max(0.0, min(FORWARD_AFTER_UNREADY_S, left_s)))
 
     async def _handle_peer_request(self, request: Request) -> Response:
         document = self._core.document()
--- a/src/cranberryhold/flows/entry_datapath.py
+++ b/src/cranberryhold/flows/entry_datapath.py
@@ -4,9 +4,15 @@
 from socket import inet_ntoa
 from typing import Protocol
 
+from cranberryhold.flows.bulk_shedding import BulkShedding
 from cranberryhold.flows.envelope import Envelope, Purpose, max_candidates_for
 from cranberryhold.flows.flow_cache import FlowCache, FlowLocation
-from cranberryhold.flows.peer_messages import FlowHeld, FlowNotHeld
+from cranberryhold.flows.link_load import LinkLoad
+from cranberryhold.flows.peer_messages import (
+    FlowHeld,
+    FlowNotFound,
+    FlowNotHeld,
+)
 from cranberryhold.flows.peers import Peers
 from cranberryhold.flows.route_table import RouteTable
 from cranberryhold.flows.segments import Segment, SegmentCodec
@@ -20,6 +26,9 @@
     def send_to_sidecar(self, ip: bytes, datagram: bytes) -> None:
         """Send an envelope to a sidecar."""
 
+    def send_to_caller(self, ip: bytes, packet: bytes) -> None:
+        """Send a packet to a caller."""
+
 
 class EntryDatapath:
     """Forwards each packet of a caller to the sidecar of a target.
@@ -31,6 +40,8 @@
     :param output: sends the packets.
     :param telemetry: log and counters.
     :param monotonic: clock in seconds.
+    :param link: load of the instance's link.
+    :param shedding: selects the new flows to refuse while the link is full.
     """
 
     def __init__(
@@ -43,6 +54,8 @@
         telemetry: Telemetry,
         *,
         monotonic: Callable[[], float],
+        link: LinkLoad,
+        shedding: BulkShedding,
     ) -> None:
         self._local_ip = local_ip
         self._routes = routes
@@ -51,6 +64,8 @@
         self._output = output
         self._telemetry = telemetry
         self._monotonic = monotonic
+        self._link = link
+        self._shedding = shedding
         self._flows = FlowCache()
 
     @property
@@ -60,6 +75,7 @@
 
     def handle_caller_packet(self, packet: bytes) -> None:
         """Handle a packet that the fabric delivered."""
+        self._link.record_received(len(packet), self._monotonic())
         segment = self._codec.decode(packet)
         if segment is None or segment.returned:
             self._telemetry.count("packets_malformed")
@@ -74,6 +90,7 @@
         location = self._flows.get_or_create(
             message.flow, UNKNOWN_SERVICE, self._monotonic()
         )
+        location.absent_until = 0.0
         location.holders.pop(ip, None)
         location.holders[ip] = message.initial_sequence
 
@@ -81,6 +98,10 @@
         """Record that a sidecar reported that its target does not hold a flow."""
         self._flows.remove_holder(message.flow, ip)
 
+    def record_not_found(self, message: FlowNotFound) -> None:
+        """Record that a search found no target that holds a flow."""
+        self._flows.record_absent(message.flow, UNKNOWN_SERVICE, self._monotonic())
+
     def sweep(self, max_idle_s: float) -> None:
         """Remove idle flows."""
         expired = self._flows.sweep(self._monotonic(), max_idle_s)
@@ -92,12 +113,21 @@
         service = self._routes.service_for_new_flow(
             segment.destination, segment.destination_port, key
         )
+        now = self._monotonic()
         if service is None:
             self._refuse(key, "no-route")
+            # The route may have been added a moment ago, and its configuration may be
+            # on its way. The first copy follows after 200 ms.
+            if segment.acknowledgment > 0 and self._routes.is_current(now):
+                self._reset(segment)
+            return
+        if self._is_shed(segment, now):
+            self._refuse(key, "link-full")
+            self._reset(segment)
             return
-        now = self._monotonic()
         location = self._flows.get_or_create(key, service, now)
         location.service, location.last_used = service, now
+        location.absent_until = 0.0
         candidates = self._candidates_for_syn(key, service, location)
         if not candidates:
             self._refuse(key, "no-target")
@@ -120,6 +150,24 @@
         )
         self._send(Purpose.OPEN, service, tuple(candidates), packet)
 
+    def _reset(self, segment: Segment) -> None:
+        self._telemetry.count("openings_reset")
+        reset = self._codec.build_reset(segment)
+        self._output.send_to_caller(segment.source, reset)
+
+    def _is_shed(self, segment: Segment, now: float) -> bool:
+        """Whether to refuse a new flow because the link is full.
+
+        Copies are not refused: a target may have accepted the first SYN, and the reset
+        would end a flow that is open.
+        """
+        route = (segment.destination, segment.destination_port)
+        return (
+            segment.acknowledgment == 0
+            and self._routes.is_bulk(*route)
+            and self._shedding.refuses(route, self._link.utilization(now), now)
+        )
+
     def _candidates_for_syn(
         self, key: bytes, service: bytes, location: FlowLocation
     ) -> list[bytes]:
@@ -145,6 +193,11 @@
                 self._telemetry.count("packets_direct")
                 self._send(Purpose.DIRECT, UNKNOWN_SERVICE, (holder,), packet)
                 return
+            if now < location.absent_until and not segment.length:
+                # The caller has been sent a reset; copies of its FIN and
+                # acknowledgments need no further search.
+                self._discard(key, "held-by-no-target")
+                return
         # Before the first configuration, any sidecar may hold the flow.
         services = None
         if self._routes.version:
@@ -157,13 +210,7 @@
                 key, services, max_candidates_for(len(packet))
             )
         if not candidates:
-            self._telemetry.count("packets_discarded")
-            self._telemetry.flow_event(
-                "packet-discarded",
-                key,
-                reason="no-route" if services == [] else "no-target",
-                version=self._routes.version,
-            )
+            self._discard(key, "no-route" if services == [] else "no-target")
             return
         self._telemetry.count("packets_searched")
         self._telemetry.flow_event("flow-searched", key, candidates=len(candidates))
@@ -193,7 +240,15 @@
             packet,
             complete=complete,
         )
-        self._output.send_to_sidecar(envelope.receiver, envelope.encode())
+        datagram = envelope.encode()
+        self._link.record_sent(len(datagram), self._monotonic())
+        self._output.send_to_sidecar(envelope.receiver, datagram)
+
+    def _discard(self, key: bytes, reason: str) -> None:
+        self._telemetry.count("packets_discarded")
+        self._telemetry.flow_event(
+            "packet-discarded", key, reason=reason, version=self._routes.version
+        )
 
     def _refuse(self, key: bytes, reason: str) -> None:
         self._telemetry.count("openings_refused")
--- a/src/cranberryhold/flows/flow_cache.py
+++ b/src/cranberryhold/flows/flow_cache.py
@@ -7,6 +7,8 @@
 MAX_FLOWS = 65_536
 # Upper bound of the bytes that a target sends on one flow.
 MAX_FLOW_BYTES = 1 << 28
+# Callers retransmit for about this long after the reset of their flow was lost.
+ABSENCE_RETENTION_S = 5.0
 
 
 class FlowLocation(Struct):
@@ -17,12 +19,15 @@
     :param holders: packed IPv4 address of each sidecar that reported the flow, with
         its target's initial sequence number, or None if the sidecar does not know it.
     :param tried: sidecars to which a SYN of the flow was sent.
+    :param absent_until: monotonic time in seconds until which the flow is known to be
+        held by no target.
     """
 
     service: bytes
     last_used: float
     holders: dict[bytes, int | None] = {}
     tried: list[bytes] = []
+    absent_until: float = 0.0
 
     def holder_for(self, segment: Segment) -> bytes | None:
         """Return the sidecar whose target a caller's packet acknowledges.
@@ -81,6 +86,12 @@
             location = self._flows[key] = FlowLocation(service, now)
         return location
 
+    def record_absent(self, key: bytes, service: bytes, now: float) -> None:
+        """Record that no target holds a flow."""
+        location = self.get_or_create(key, service, now)
+        location.holders.clear()
+        location.absent_until = now + ABSENCE_RETENTION_S
+
     def remove_holder(self, key: bytes, holder: bytes) -> None:
         """Remove a sidecar that turned out not to hold a flow."""
         location = self._flows.get(key)
--- a/src/cranberryhold/flows/peer_messages.py
+++ b/src/cranberryhold/flows/peer_messages.py
@@ -42,6 +42,8 @@
     :param cold: whether the target is still in its slow start.
     :param interval_ms: time until the receiver is sent the next status, in
         milliseconds.
+    :param presumed: whether the target is only presumed to be ready, as the sidecar
+        has not received a heartbeat yet.
     """
 
     process: int
@@ -53,6 +55,7 @@
     flows: int
     cold: bool
     interval_ms: int = DEFAULT_STATUS_INTERVAL_MS
+    presumed: bool = False
 
 
 class EntryStatus(_Message, tag=2):
@@ -115,7 +118,24 @@
     flows: int
 
 
-PeerMessage = SidecarStatus | EntryStatus | PeerList | FlowHeld | FlowNotHeld | Leaving
+class FlowNotFound(_Message, tag=7):
+    """Reports to an entry instance that no target holds a flow.
+
+    Sent at the end of a search that included every possible holder.
+    """
+
+    flow: FlowKey
+
+
+PeerMessage = (
+    SidecarStatus
+    | EntryStatus
+    | PeerList
+    | FlowHeld
+    | FlowNotHeld
+    | Leaving
+    | FlowNotFound
+)
 
 _encoder = msgpack.Encoder()
 _decoder = msgpack.Decoder(PeerMessage)
--- a/src/cranberryhold/flows/peers.py
+++ b/src/cranberryhold/flows/peers.py
@@ -48,6 +48,8 @@
     :param last_seen: monotonic time of that status, in seconds.
     :param offered: number of flows offered to it since then.
     :param restarting: whether its process has ended and a successor is expected.
+    :param confirmed: the last status that rests on a heartbeat of the target, possibly
+        of an earlier process of the sidecar.
     """
 
     ip: bytes
@@ -55,6 +57,18 @@
     last_seen: float
     offered: int = 0
     restarting: bool = False
+    confirmed: SidecarStatus | None = None
+
+    def accepts_flows_of(self, service: bytes) -> bool:
+        """Whether its target takes new flows of a service.
+
+        A restarted sidecar presumes that a target which listens is ready. That does
+        not count if the target was draining before.
+        """
+        status = self.status
+        if status.service != service or not status.accepts:
+            return False
+        return not status.presumed or self.confirmed is None or self.confirmed.accepts
 
     def silence_timeout_s(self) -> float:
         """Return the seconds without a status after which it counts as silent."""
@@ -62,7 +76,7 @@
 
     def holder_timeout_s(self) -> float:
         """Return the seconds without a status after which its target holds no flows."""
-        if self.status.service == UNKNOWN_SERVICE:
+        if self.status.service == UNKNOWN_SERVICE and self.confirmed is None:
             return UNKNOWN_TARGET_TIMEOUT_S
         return HOLDER_TIMEOUT_S
 
@@ -109,8 +123,12 @@
         If some but fewer than half of a zone's instances are ready, the fabric sends
         packets to all of them, including those that do not run.
         """
+        return self.ready == 0 or self.keeps_half()
+
+    def keeps_half(self) -> bool:
+        """Whether half of the zone's instances are ready without this one."""
         total = self.ready + self.absent + 1
-        return self.ready == 0 or 2 * self.ready >= total
+        return self.ready > 0 and 2 * self.ready >= total
 
 
 class Peers:
@@ -201,7 +219,8 @@
         peer = self._sidecars.get(ip)
         self._listed_sidecars.pop(ip, None)
         if peer is None:
-            self._sidecars[ip] = SidecarPeer(ip, status, now)
+            peer = self._sidecars[ip] = SidecarPeer(ip, status, now)
+            peer.confirmed = status if _is_confirmed(status) else None
             return True
         new = peer.status.process != status.process
         if peer.restarting and not new:
@@ -212,6 +231,8 @@
             0,
             False,
         )
+        if _is_confirmed(status):
+            peer.confirmed = status
         return new
 
     def update_entry(self, ip: bytes, status: EntryStatus) -> bool:
@@ -305,9 +326,7 @@
     def candidates_for_new_flow(self, key: bytes, service: bytes) -> list[SidecarPeer]:
         """Return the sidecars to offer a new flow to, lowest cost first."""
         accepting = [
-            peer
-            for peer in self._reachable_or_all()
-            if peer.status.service == service and peer.status.accepts
+            peer for peer in self._reachable_or_all() if peer.accepts_flows_of(service)
         ]
         if len(accepting) > MAX_NEW_FLOW_CANDIDATES:
             accepting = self._select_candidates(key, accepting, MAX_NEW_FLOW_CANDIDATES)
@@ -385,5 +404,10 @@
         return (first + rest)[:count]
 
 
+def _is_confirmed(status: SidecarStatus) -> bool:
+    """Whether a status rests on what the target reported of itself."""
+    return status.service != UNKNOWN_SERVICE and not status.presumed
+
+
 def _expiry_s(interval_s: float) -> float:
     return max(PEER_EXPIRY_S, EXPIRY_STATUSES * interval_s)
--- a/src/cranberryhold/flows/route_table.py
+++ b/src/cranberryhold/flows/route_table.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable, Mapping
 from hashlib import blake2b
+from math import inf
 
 from msgspec import Struct
 
@@ -26,12 +27,14 @@
     :param ip: packed IPv4 address.
     :param port: port that callers connect to.
     :param services: services that new flows are distributed to; at least one.
+    :param bulk: whether its requests are large, such as uploads.
     """
 
     name: str
     ip: bytes
     port: int
     services: tuple[WeightedService, ...]
+    bulk: bool = False
 
 
 class Configuration(Struct, frozen=True):
@@ -55,6 +58,10 @@
     former_services: dict[bytes, float] = {}
 
 
+# A watch of the store is answered at least this often while it can be reached.
+CONFIRMATION_S = 7.0
+
+
 class RouteTable:
     """The routes of the newest configuration, with recently removed services.
 
@@ -66,6 +73,8 @@
         self._flow_lifetime_s = flow_lifetime_s
         self._entries: dict[tuple[bytes, int], _RouteEntry] = {}
         self._configuration: Configuration | None = None
+        self._newest_known_version = 0
+        self._confirmed_at = -inf
 
     @property
     def configuration(self) -> Configuration | None:
@@ -77,6 +86,22 @@
         """Version of the newest configuration, 0 before the first."""
         return self._configuration.version if self._configuration else 0
 
+    def confirm(self, now: float) -> None:
+        """Record that the store has no newer configuration."""
+        self._confirmed_at = now
+
+    def record_known_version(self, version: int) -> None:
+        """Record the version of a configuration that another member has."""
+        self._newest_known_version = max(self._newest_known_version, version)
+
+    def is_current(self, now: float) -> bool:
+        """Whether the configuration is known to be the newest one."""
+        return (
+            self._configuration is not None
+            and self.version >= self._newest_known_version
+            and now - self._confirmed_at <= CONFIRMATION_S
+        )
+
     def adopt(self, configuration: Configuration, now: float) -> bool:
         """Put a newer configuration into effect.
 
@@ -111,6 +136,11 @@
                 return tag
         return entry.tags[-1]
 
+    def is_bulk(self, ip: bytes, port: int) -> bool:
+        """Whether the requests of a route are large."""
+        entry = self._entries.get((ip, port))
+        return entry is not None and entry.route.bulk
+
     def services_of_open_flow(self, ip: bytes, port: int, now: float) -> list[bytes]:
         """Return the tags of the services that may hold an open flow."""
         entry = self._entries.get((ip, port))
--- a/src/cranberryhold/flows/settings.py
+++ b/src/cranberryhold/flows/settings.py
@@ -12,6 +12,7 @@
     "ready_",
     "metrics_",
     "status_",
+    "link_",
 )
 """Prefixes of the names of member settings that take effect only after a restart."""
 
@@ -34,6 +35,8 @@
     :param max_flow_s: age in seconds after which the state of a flow may be removed.
     :param status_address: where an entry instance receives regular statuses over UDP,
         None for ``peer_address``.
+    :param link_bytes_s: capacity of the instance's link in bytes per second in each
+        direction, None if unknown.
     """
 
     name: str
@@ -47,6 +50,7 @@
     stop_limit_s: float
     max_flow_s: float
     status_address: Address | None = None
+    link_bytes_s: float | None = None
 
 
 class FlowSidecarSettings(Struct, frozen=True):
--- a/src/cranberryhold/flows/sidecar_core.py
+++ b/src/cranberryhold/flows/sidecar_core.py
@@ -53,6 +53,7 @@
             max_flow_s=settings.member.max_flow_s,
             monotonic=time.monotonic,
             boot_time=boot_time,
+            unix_time=time.time,
             random=self._member.random,
         )
         self._target_ip = inet_aton(settings.target_address.ip)
@@ -204,6 +205,7 @@
             self._datapath.flows.unclosed,
             self._target.is_cold(boot_time()),
             round(interval_s * 1000),
+            self._target.presumed,
         )
 
     def _send_status_to(self, ips: list[bytes]) -> None:
--- a/src/cranberryhold/flows/sidecar_daemon.py
+++ b/src/cranberryhold/flows/sidecar_daemon.py
@@ -163,9 +163,9 @@
     async def _drain(self) -> None:
         self._datapath.stop_accepting()
         self._core.announce()
+        deadline = time.monotonic() + DRAIN_LIMIT_S
         await asyncio.sleep(MIN_DRAIN_S)
-        polls = int(DRAIN_LIMIT_S / DRAIN_POLL_S)
-        for _ in range(polls):
+        while time.monotonic() < deadline:
             if not self._datapath.flows.running:
                 break
             await asyncio.sleep(DRAIN_POLL_S)
--- a/src/cranberryhold/flows/sidecar_datapath.py
+++ b/src/cranberryhold/flows/sidecar_datapath.py
@@ -12,7 +12,12 @@
     decode_envelope,
 )
 from cranberryhold.flows.flow_table import FlowTable
-from cranberryhold.flows.peer_messages import FlowHeld, FlowNotHeld, PeerMessage
+from cranberryhold.flows.peer_messages import (
+    FlowHeld,
+    FlowNotFound,
+    FlowNotHeld,
+    PeerMessage,
+)
 from cranberryhold.flows.pending_deliveries import MAX_PENDING, PendingDeliveries
 from cranberryhold.flows.segments import Segment, SegmentCodec
 from cranberryhold.flows.target_state import (
@@ -28,9 +33,6 @@
 # Longer than the interval between retransmissions, so that each caller gets its reset;
 # limited because callers may reuse their ports.
 ENDED_RETENTION_S = 5.0
-# Heartbeats of a target are numbered from 1. A sidecar that receives the first one
-# knows that the target had no flows before the sidecar started.
-FIRST_HEARTBEAT_SEQUENCE = 1
 
 
 class SidecarOutput(Protocol):
@@ -60,6 +62,7 @@
     :param monotonic: clock for flows, in seconds.
     :param boot_time: clock for heartbeats, in seconds, which also counts while the
         instance is suspended.
+    :param unix_time: time of day in seconds.
     :param random: source of the first token.
     """
 
@@ -73,6 +76,7 @@
         max_flow_s: float,
         monotonic: Callable[[], float],
         boot_time: Callable[[], float],
+        unix_time: Callable[[], float],
         random: Random,
     ) -> None:
         self._target = target
@@ -81,6 +85,7 @@
         self._telemetry = telemetry
         self._monotonic = monotonic
         self._boot_time = boot_time
+        self._unix_time = unix_time
         self._flows = FlowTable(max_flow_s)
         self._pending = PendingDeliveries(random.getrandbits(32))
         self._ended_flows: dict[bytes, str] = {}
@@ -119,7 +124,7 @@
         if outcome is BeatOutcome.NEW_INCARNATION:
             if not is_first:
                 self._end_flows("target-replaced")
-            if not is_first or heartbeat.sequence <= FIRST_HEARTBEAT_SEQUENCE:
+            if not is_first or self._target.was_unheard(heartbeat, self._unix_time()):
                 self._incomplete_until = self._monotonic()
         if outcome is not BeatOutcome.REFRESHED:
             self._telemetry.event(
@@ -324,10 +329,14 @@
             if envelope.inconclusive >> position & 1:
                 self._forward(envelope, position)
                 return
-        if envelope.complete and segment.length:
+        if not envelope.complete:
+            self._discard(key, "holder-unknown")
+            return
+        self._output.send_to_peer(envelope.origin, FlowNotFound(key))
+        if segment.length or segment.fin:
             self._send_reset(key, segment, "held-by-no-target")
         else:
-            self._discard(key, "holder-unknown")
+            self._discard(key, "held-by-no-target")
 
     def _forward(self, envelope: Envelope, position: int) -> None:
         envelope.position = position
--- a/src/cranberryhold/flows/target_state.py
+++ b/src/cranberryhold/flows/target_state.py
@@ -15,6 +15,13 @@
 
 # Even without faults, heartbeats arrive late by a fraction of their interval.
 _TIMEOUT_INTERVALS = 1.9
+# After an acknowledged heartbeat, the next one follows later than this share of the
+# interval; unacknowledged ones are repeated sooner.
+_UNHEARD_INTERVALS = 0.6
+
+
+# Heartbeats of an incarnation are numbered from 1.
+FIRST_HEARTBEAT_SEQUENCE = 1
 
 
 class TargetPhase(Enum):
@@ -89,6 +96,11 @@
         """Tag of the target's service, ``UNKNOWN_SERVICE`` or ``NO_TARGET``."""
         return NO_TARGET if self._ended or self._absent else self._service_tag
 
+    @property
+    def presumed(self) -> bool:
+        """Whether the target is only presumed to be ready."""
+        return self._presumed_at is not None
+
     @property
     def slots(self) -> int:
         """Number of requests that the target processes concurrently, at least 1."""
@@ -98,6 +110,7 @@
         self, heartbeat_interval_s: float, address_reuse_s: float
     ) -> None:
         """Apply changed settings."""
+        self._heartbeat_interval_s = heartbeat_interval_s
         self._heartbeat_timeout_s = min(
             heartbeat_interval_s * _TIMEOUT_INTERVALS, address_reuse_s
         )
@@ -124,6 +137,21 @@
         """Whether no heartbeat has arrived within the time-out."""
         return self.seconds_since_heartbeat(now) > self._heartbeat_timeout_s
 
+    def was_unheard(self, heartbeat: Heartbeat, unix_time_s: float) -> bool:
+        """Whether no heartbeat of this incarnation was acknowledged before this one.
+
+        The target has then been offered no flow yet: a sidecar process offers flows
+        only after a heartbeat, or shortly before one that it acknowledges. This is
+        known for the first heartbeat, and for later ones of a target that is too young
+        to have had one acknowledged.
+
+        :param unix_time_s: time of day of the instance, which the target shares.
+        """
+        if heartbeat.sequence <= FIRST_HEARTBEAT_SEQUENCE:
+            return True
+        age_s = unix_time_s - heartbeat.started_ms / 1000
+        return 0 <= age_s < _UNHEARD_INTERVALS * self._heartbeat_interval_s
+
     def is_cold(self, now: float) -> bool:
         """Whether the target is still in its slow start."""
         return now < self._cold_until
--- a/src/cranberryhold/platform/operator_configuration.py
+++ b/src/cranberryhold/platform/operator_configuration.py
@@ -8,6 +8,7 @@
 from cranberryhold.flows.route_table import Configuration, Route, WeightedService
 
 DEFAULT_IDLE_TIMEOUT_MS = 60_000
+UPLOAD_TYPE = "upload"
 
 
 class _Backend(msgspec.Struct):
@@ -21,6 +22,8 @@
     host: str
     # Port that callers send to, between slashes.
     prefix: str
+    # Kind of the requests: ``safe``, ``unsafe`` or ``upload``.
+    type: str = ""
     service: str | None = None
     backends: list[_Backend] = []
 
@@ -70,4 +73,5 @@
     else:
         raise ValueError(f"route {route.name!r} has no service")
     port = int(route.prefix.strip("/"))
-    return Route(route.name, inet_aton(route.host), port, services)
+    bulk = route.type == UPLOAD_TYPE
+    return Route(route.name, inet_aton(route.host), port, services, bulk)
--- a/src/cranberryhold/platform/settings.py
+++ b/src/cranberryhold/platform/settings.py
@@ -12,6 +12,7 @@
 PATH_VARIABLE = "CRANBERRYHOLD_BOOT"
 # Must match the port in the deployment files.
 METRICS_PORT = 9464
+BITS_PER_BYTE = 8
 
 
 class _Bounds(msgspec.Struct, rename="camel"):
@@ -24,6 +25,11 @@
     address: str
 
 
+class _Limits(msgspec.Struct, rename="camel"):
+    # Capacity of the machine's link in each direction, in Mbit/s.
+    link_mbps: float | None = None
+
+
 class PlatformSettings(msgspec.Struct, rename="camel"):
     """The used fields of the settings file."""
 
@@ -34,6 +40,7 @@
     internal_ports: list[int]
     bounds: _Bounds
     platform: _Platform
+    limits: _Limits = msgspec.field(default_factory=_Limits)
     # Addresses of the ``controlPlane`` listeners of entry instances.
     seed_addrs: list[str] = []
     heartbeat_interval_ms: int = 1000
@@ -72,6 +79,7 @@
         stop_limit_s=settings.bounds.grace_period_s,
         max_flow_s=settings.bounds.max_flow_s,
         status_address=_status_address(settings),
+        link_bytes_s=_link_bytes_s(settings),
     )
 
 
@@ -94,6 +102,11 @@
     return Address(settings.ip, first + 1) if first < last else None
 
 
+def _link_bytes_s(settings: PlatformSettings) -> float | None:
+    megabits = settings.limits.link_mbps
+    return megabits * 1e6 / BITS_PER_BYTE if megabits is not None else None
+
+
 def _listen_address(settings: PlatformSettings, name: str) -> Address:
     return _address(settings.listen_addrs.get(name, ""), f"listenAddrs.{name}")
 
--- a/tests/test_flow_peers.py
+++ b/tests/test_flow_peers.py
@@ -16,10 +16,11 @@
     HOLDER_TIMEOUT_S,
     MAX_NEW_FLOW_CANDIDATES,
     PEER_EXPIRY_S,
+    UNKNOWN_TARGET_TIMEOUT_S,
     Peers,
 )
 from cranberryhold.flows.rendezvous import rendezvous_order
-from cranberryhold.flows.target_state import NO_TARGET
+from cranberryhold.flows.target_state import NO_TARGET, UNKNOWN_SERVICE
 from tests.flow_simulation import ManualClock
 
 CORE = service_tag("core")
@@ -189,6 +190,44 @@
         peers.update_sidecar(self.ip(2), self.sidecar())
         assert peers.search_is_complete([CORE], 1)
 
+    def test_a_restarted_sidecar_that_falls_silent_counts_as_holder(self):
+        # Its new process had not heard from its target yet when it fell silent; the
+        # target still holds the flows that the earlier process reported.
+        peers, clock = self.peers()
+        peers.mark_list_read()
+        peers.update_sidecar(self.ip(1), self.sidecar(flows=3))
+        unknown = self.sidecar(process=2, service=UNKNOWN_SERVICE, accepts=False)
+        peers.update_sidecar(self.ip(1), unknown)
+        clock.now += UNKNOWN_TARGET_TIMEOUT_S + 1
+        peers.update_sidecar(self.ip(2), self.sidecar())
+        assert not peers.search_is_complete([CORE], 1)
+        clock.now += HOLDER_TIMEOUT_S
+        peers.update_sidecar(self.ip(2), self.sidecar())
+        assert peers.search_is_complete([CORE], 1)
+
+    def test_a_drained_target_is_not_used_because_its_sidecar_restarted(self):
+        # The new process finds that its target listens and presumes that it is ready,
+        # until the next heartbeat tells that it drains.
+        peers, _ = self.peers()
+        peers.update_sidecar(self.ip(1), self.sidecar(accepts=False))
+        peers.update_sidecar(self.ip(2), self.sidecar())
+        for service in (UNKNOWN_SERVICE, CORE):
+            presumed = service == CORE
+            restarted = self.sidecar(
+                process=2, service=service, accepts=presumed, presumed=presumed
+            )
+            peers.update_sidecar(self.ip(1), restarted)
+            candidates = peers.candidates_for_new_flow(key(1), CORE)
+            assert [peer.ip for peer in candidates] == [self.ip(2)]
+        peers.update_sidecar(self.ip(1), self.sidecar(process=2))
+        assert len(peers.candidates_for_new_flow(key(1), CORE)) == 2
+
+    def test_a_target_that_was_ready_is_used_when_its_sidecar_restarted(self):
+        peers, _ = self.peers()
+        peers.update_sidecar(self.ip(1), self.sidecar())
+        peers.update_sidecar(self.ip(1), self.sidecar(process=2, presumed=True))
+        assert peers.candidates_for_new_flow(key(1), CORE)
+
     def test_a_listed_member_is_waited_for_only_once(self):
         peers, clock = self.peers()
         peers.mark_list_read()
