Keep local intervals in announced statuses, and spare duplicates of a first SYN

Found by reading the change once more: - A status that was sent because of a change stated the interval of remote members, so that a member of the zone that ended just after it counted as running for 30 s. - A duplicate of a first SYN could be reset while its flow is open; only flows that are not known are refused, with a test. - The readiness of the zone was counted twenty times a second; it is asked for only under overload. - Two ways to send a message to several members share one; a range of one internal port no longer stops the start.

--- a/src/cranberryhold/flows/entry_core.py
+++ b/src/cranberryhold/flows/entry_core.py
@@ -166,10 +166,8 @@
 
     def announce(self) -> None:
         """Send the status of this instance to all members at once."""
-        peers = self._member.peers
-        self._member.send_all(
-            [*peers.entry_ips(), *peers.sidecar_ips()], self._status()
-        )
+        self._send_status_to_entries()
+        self._member.send_all(self._member.peers.sidecar_ips(), self._status())
 
     def send_status(self) -> float:
         """Send the status to the members whose turn it is.
@@ -205,11 +203,10 @@
         """
         now = time.monotonic()
         utilization = self._link.lasting_utilization(now)
-        rotation = self._member.peers.rotation
         changed = self._guard.update(
             utilization=utilization,
             lateness_s=lateness_s,
-            may_leave=self.is_ready() and rotation().keeps_half(),
+            may_leave=self._may_leave_rotation,
             now=now,
         )
         if changed:
@@ -286,6 +283,9 @@
                 if message.version > self._routes.version:
                     self._notify_newer_version(ip, message.version)
 
+    def _may_leave_rotation(self) -> bool:
+        return self.is_ready() and self._member.peers.rotation().keeps_half()
+
     def _notify_newer_version(self, ip: bytes, version: int) -> None:
         if self._on_newer_version is not None:
             port = self._settings.peer_address.port
@@ -320,6 +320,8 @@
         self._send_status_to_entries()
 
     def _send_status_to_entries(self) -> None:
-        status = self._status()
-        self._sent_ready = status.ready
-        self._member.send_all(self._member.peers.entry_ips(), status)
+        self._sent_ready = self.is_ready()
+        peers = self._member.peers
+        local_status = self._status(self._schedule.interval_s)
+        self._member.send_all(peers.local_entry_ips(), local_status)
+        self._member.send_all(peers.remote_entry_ips(), self._status())
--- a/src/cranberryhold/flows/entry_datapath.py
+++ b/src/cranberryhold/flows/entry_datapath.py
@@ -121,7 +121,7 @@
             if segment.acknowledgment > 0 and self._routes.is_current(now):
                 self._reset(segment)
             return
-        if self._is_shed(segment, now):
+        if self._is_shed(key, segment, now):
             self._refuse(key, "link-full")
             self._reset(segment)
             return
@@ -155,15 +155,16 @@
         reset = self._codec.build_reset(segment)
         self._output.send_to_caller(segment.source, reset)
 
-    def _is_shed(self, segment: Segment, now: float) -> bool:
+    def _is_shed(self, key: bytes, segment: Segment, now: float) -> bool:
         """Whether to refuse a new flow because the link is full.
 
         Copies are not refused: a target may have accepted the first SYN, and the reset
         would end a flow that is open.
         """
         route = (segment.destination, segment.destination_port)
+        is_first = segment.acknowledgment == 0 and self._flows.get(key) is None
         return (
-            segment.acknowledgment == 0
+            is_first
             and self._routes.is_bulk(*route)
             and self._shedding.refuses(route, self._link.utilization(now), now)
         )
--- a/src/cranberryhold/flows/member.py
+++ b/src/cranberryhold/flows/member.py
@@ -99,23 +99,14 @@
 
     def send_all(self, ips: Iterable[bytes], message: PeerMessage) -> None:
         """Send a message to several members."""
-        if self._socket is None:
-            return
-        datagram = encode_message(message)
         port = self._settings.peer_address.port
-        for ip in ips:
-            if ip != self._ip:
-                self._socket.send(datagram, ip, port)
+        self._send_to([(ip, port) for ip in ips if ip != self._ip], message)
 
     def send_regular_status(self, ips: Iterable[bytes], message: PeerMessage) -> None:
         """Send a status that its receivers may handle with some delay."""
-        if self._socket is None:
-            return
-        datagram = encode_message(message)
-        default_port = self._settings.peer_address.port
-        for ip in ips:
-            port = self._peers.status_port_of(ip, default_port)
-            self._socket.send(datagram, ip, port)
+        port = self._settings.peer_address.port
+        ports = [(ip, self._peers.status_port_of(ip, port)) for ip in ips]
+        self._send_to(ports, message)
 
     def handle_new_peer(self, ip: bytes, zone: str) -> None:
         """Log a newly discovered process and send it the known members.
@@ -165,3 +156,12 @@
                 "peers-listed", source=source, new=",".join(map(inet_ntoa, new[:16]))
             )
             self._on_discovered(new)
+
+    def _send_to(
+        self, receivers: Iterable[tuple[bytes, int]], message: PeerMessage
+    ) -> None:
+        if self._socket is None:
+            return
+        datagram = encode_message(message)
+        for ip, port in receivers:
+            self._socket.send(datagram, ip, port)
--- a/src/cranberryhold/flows/rotation_guard.py
+++ b/src/cranberryhold/flows/rotation_guard.py
@@ -10,6 +10,7 @@
 only under lasting overload, and longer each time.
 """
 
+from collections.abc import Callable
 from random import Random
 
 # A link at this load over a second is full most of the time.
@@ -51,13 +52,18 @@
         return self._in_rotation
 
     def update(
-        self, *, utilization: float, lateness_s: float, may_leave: bool, now: float
+        self,
+        *,
+        utilization: float,
+        lateness_s: float,
+        may_leave: Callable[[], bool],
+        now: float,
     ) -> bool:
         """Update the state; return whether it changed.
 
         :param utilization: load of the instance's link.
         :param lateness_s: how late a timer fired, in seconds.
-        :param may_leave: whether the zone keeps enough ready instances.
+        :param may_leave: returns whether the zone keeps enough ready instances.
         :param now: monotonic time in seconds.
         """
         if not self._in_rotation:
@@ -70,7 +76,7 @@
             self._overloaded_at = now
             jitter_s = self._random.uniform(0.0, LEAVE_JITTER_S)
             self._leave_after_s = LEAVE_AFTER_S + jitter_s
-        if now - self._overloaded_at < self._leave_after_s or not may_leave:
+        if now - self._overloaded_at < self._leave_after_s or not may_leave():
             return False
         self._leave(now)
         return True
--- a/src/cranberryhold/flows/sidecar_core.py
+++ b/src/cranberryhold/flows/sidecar_core.py
@@ -113,7 +113,10 @@
 
     def announce(self) -> None:
         """Send the target's status to all entry instances at once."""
-        self._member.send_all(self._member.peers.entry_ips(), self._status())
+        peers = self._member.peers
+        local_status = self._status(self._schedule.interval_s)
+        self._member.send_all(peers.local_entry_ips(), local_status)
+        self._member.send_all(peers.remote_entry_ips(), self._status())
 
     def send_status(self) -> float:
         """Send the target's status to the entry instances whose turn it is.
--- a/src/cranberryhold/flows/status_schedule.py
+++ b/src/cranberryhold/flows/status_schedule.py
@@ -64,8 +64,14 @@
         self._min_interval_s = min_interval_s
         self._max_rounds = max_rounds
         self._round = 0
+        self._interval_s = min_interval_s
         self._longest_interval_s = max_rounds * min_interval_s
 
+    @property
+    def interval_s(self) -> float:
+        """Seconds between two statuses to the same member of the local zone."""
+        return self._interval_s
+
     @property
     def longest_interval_s(self) -> float:
         """Seconds within which each member is sent a status.
@@ -87,5 +93,6 @@
         self._round += 1
         bytes_per_round = (len(local) + len(remote) / rounds) * STATUS_BYTES
         interval_s = max(self._min_interval_s, bytes_per_round / STATUS_BUDGET_BYTES_S)
+        self._interval_s = interval_s
         self._longest_interval_s = rounds * interval_s
         return StatusRound(local, turn, interval_s, rounds * interval_s)
--- a/src/cranberryhold/platform/settings.py
+++ b/src/cranberryhold/platform/settings.py
@@ -98,7 +98,7 @@
 
 def _status_address(settings: PlatformSettings) -> Address | None:
     """Return the second of the internal ports, if there is one."""
-    first, last = settings.internal_ports
+    first, last = settings.internal_ports[0], settings.internal_ports[-1]
     return Address(settings.ip, first + 1) if first < last else None
 
 
--- a/tests/test_bulk_shedding.py
+++ b/tests/test_bulk_shedding.py
@@ -115,6 +115,17 @@
             sim.from_caller(caller.packet(SYN, acknowledgment=1))
             assert not any(answer.rst for answer in sim.pop_answers())
 
+    def test_a_duplicate_of_the_first_syn_is_not_refused(self):
+        # The flow may be open already, and a reset would end it.
+        sim, entry = self.simulation()
+        callers = [Caller(sim, port=30000 + number) for number in range(9)]
+        for caller in callers:
+            assert caller.open()
+        self.fill_link(sim, entry)
+        for caller in callers:
+            sim.from_caller(caller.packet(SYN))
+            assert not any(answer.rst for answer in sim.pop_answers())
+
     def test_other_routes_are_not_refused(self):
         sim, entry = self.simulation()
         sim.routes[entry].adopt(configuration(version=3), sim.clock())
--- a/tests/test_rotation_guard.py
+++ b/tests/test_rotation_guard.py
@@ -38,7 +38,7 @@
             if self.guard.update(
                 utilization=utilization,
                 lateness_s=lateness_s,
-                may_leave=may_leave,
+                may_leave=lambda: may_leave,
                 now=self.now,
             ):
                 changes.append(self.now)
@@ -107,7 +107,7 @@
             guard.update(
                 utilization=1.0 if number < overloaded else 0.2,
                 lateness_s=0.0,
-                may_leave=rotation.keeps_half(),
+                may_leave=rotation.keeps_half,
                 now=now,
             )
             known[number] = guard.in_rotation
--- a/tests/test_status_schedule.py
+++ b/tests/test_status_schedule.py
@@ -85,6 +85,15 @@
     assert LARGE_ENTRIES / turn.remote_interval_s < 7
 
 
+def test_the_interval_of_the_zone_is_known_between_two_rounds():
+    # A status that is sent because of a change states it, too; a member that ends just
+    # after it would otherwise count as running for the interval of remote members.
+    schedule = sidecar_schedule()
+    turn = schedule.next_round(members(12, "l"), members(47, "r"))
+    assert schedule.interval_s == turn.interval_s
+    assert schedule.longest_interval_s == turn.remote_interval_s
+
+
 def test_a_member_that_joins_does_not_stop_the_turns_of_the_others():
     schedule = sidecar_schedule()
     remotes = members(24, "r")
--- a/tests/test_upload_burst.py
+++ b/tests/test_upload_burst.py
@@ -72,7 +72,7 @@
         if self.guarded and self.guard.update(
             utilization=self.link.lasting_utilization(now),
             lateness_s=0.0,
-            may_leave=rotation.keeps_half(),
+            may_leave=rotation.keeps_half,
             now=now,
         ):
             self.changed_at = now
