Let stopping entry daemons leave the rotation while neighbors are overloaded

Cause: an entry daemon that stops waits until half of its zone is ready without it, up to 4 s. Neighbors that had left because of full links counted as absent, so it waited to the end, and its probes failed too late.

Change: a status says that its sender is stopping; neighbors then count it as absent, and overloaded ones return at once when less than half would be ready, as the fabric would send packets to all of them anyway. The wait is limited to 2.5 s, so that two probes fail within the 4 s.

Ruled out: leaving at once. With less than half ready, the routers also send packets to the instance that has ended.

--- a/src/cranberryhold/flows/entry_core.py
+++ b/src/cranberryhold/flows/entry_core.py
@@ -83,6 +83,7 @@
         self._packet_socket: UdpSocket | None = None
         self._status_socket: UdpSocket | None = None
         self._configured_at: float | None = None
+        self._stopping = False
         self._left_rotation = False
         self._sent_ready = False
         self._guard = RotationGuard(self._member.random)
@@ -184,6 +185,11 @@
         )
         return turn.interval_s
 
+    def begin_stop(self) -> None:
+        """Tell the neighbors that this instance will leave the rotation."""
+        self._stopping = True
+        self._send_status_to_entries()
+
     def leave_rotation(self) -> None:
         """Report this instance as not ready from now on."""
         rotation = self._member.peers.rotation()
@@ -207,6 +213,7 @@
             utilization=utilization,
             lateness_s=lateness_s,
             may_leave=self._may_leave_rotation,
+            is_needed=lambda: self._member.peers.rotation().needs_others(),
             now=now,
         )
         if changed:
@@ -309,6 +316,7 @@
             self.is_ready(),
             round(interval_s * 1000),
             status_address.port if status_address is not None else 0,
+            self._stopping,
         )
 
     def _send_status_to(self, ips: list[bytes]) -> None:
--- a/src/cranberryhold/flows/entry_daemon.py
+++ b/src/cranberryhold/flows/entry_daemon.py
@@ -24,6 +24,9 @@
 # Reserved at the end of the time that the platform allows a process to stop.
 STOP_MARGIN_S = 1.0
 ROTATION_POLL_S = 0.1
+# The platform expects an instance that was told to stop out of the rotation after 4 s;
+# its probes take more than a second to notice.
+MAX_ROTATION_WAIT_S = 2.5
 # Reading statuses in batches costs a fraction of waking up for each of them.
 STATUS_READ_INTERVAL_S = 0.05
 # If the status task wakes up this much later than due, the process was paused.
@@ -137,12 +140,14 @@
     async def _leave_rotation(self) -> None:
         """Report unready, and forward until the fabric has stopped sending packets.
 
-        Waits until the zone can spare this instance, at most as long as the stop
-        limit allows.
+        Waits until the zone can spare this instance, for a limited time.
         """
-        latest_exit = time.monotonic() + self._core.settings.stop_limit_s
-        latest_exit -= STOP_MARGIN_S
-        latest_leave = latest_exit - FORWARD_AFTER_UNREADY_S
+        started_at = time.monotonic()
+        latest_exit = started_at + self._core.settings.stop_limit_s - STOP_MARGIN_S
+        latest_leave = min(
+            started_at + MAX_ROTATION_WAIT_S, latest_exit - FORWARD_AFTER_UNREADY_S
+        )
+        self._core.begin_stop()
         while time.monotonic() < latest_leave:
             if self._member.peers.rotation().tolerates_withdrawal():
                 break
--- a/src/cranberryhold/flows/peer_messages.py
+++ b/src/cranberryhold/flows/peer_messages.py
@@ -69,6 +69,8 @@
         milliseconds.
     :param status_port: UDP port where it receives regular statuses, 0 for the port
         of all other messages.
+    :param stopping: whether it was told to stop; it stays ready until its zone can
+        spare it, for a short time.
     """
 
     process: int
@@ -77,6 +79,7 @@
     ready: bool
     interval_ms: int = DEFAULT_STATUS_INTERVAL_MS
     status_port: int = 0
+    stopping: bool = False
 
 
 class PeerList(_Message, tag=3):
--- a/src/cranberryhold/flows/peers.py
+++ b/src/cranberryhold/flows/peers.py
@@ -127,8 +127,15 @@
 
     def keeps_half(self) -> bool:
         """Whether half of the zone's instances are ready without this one."""
+        return not self.needs_others()
+
+    def needs_others(self) -> bool:
+        """Whether less than half of the zone's instances are ready without this one.
+
+        The fabric then sends packets to all of them, whatever they report.
+        """
         total = self.ready + self.absent + 1
-        return self.ready > 0 and 2 * self.ready >= total
+        return self.ready == 0 or 2 * self.ready < total
 
 
 class Peers:
@@ -269,6 +276,7 @@
         local = [p for p in self._entries.values() if p.status.zone == self._zone]
         ready = sum(
             p.status.ready
+            and not p.status.stopping
             and now - p.last_seen
             <= MAX_MISSED_ENTRY_STATUSES * p.status.interval_ms / 1000
             for p in local
--- a/src/cranberryhold/flows/rotation_guard.py
+++ b/src/cranberryhold/flows/rotation_guard.py
@@ -57,6 +57,7 @@
         utilization: float,
         lateness_s: float,
         may_leave: Callable[[], bool],
+        is_needed: Callable[[], bool],
         now: float,
     ) -> bool:
         """Update the state; return whether it changed.
@@ -64,9 +65,12 @@
         :param utilization: load of the instance's link.
         :param lateness_s: how late a timer fired, in seconds.
         :param may_leave: returns whether the zone keeps enough ready instances.
+        :param is_needed: returns whether the zone has too few ready instances.
         :param now: monotonic time in seconds.
         """
         if not self._in_rotation:
+            if is_needed():
+                return self._return(now)
             return self._update_away(utilization, lateness_s, now)
         limit = MAX_UTILIZATION if self._overloaded_at is None else RELIEVED_UTILIZATION
         if utilization < limit and lateness_s < MAX_LATENESS_S:
@@ -93,6 +97,9 @@
         calm = utilization < CALM_UTILIZATION and lateness_s < MAX_LATENESS_S
         if not calm or now - self._left_at < self._away_s:
             return False
+        return self._return(now)
+
+    def _return(self, now: float) -> bool:
         self._in_rotation = True
         self._overloaded_at = None
         self._returned_at = now
--- a/tests/test_flow_daemons.py
+++ b/tests/test_flow_daemons.py
@@ -8,6 +8,7 @@
 from socket import inet_aton
 
 import pytest
+from msgspec import structs
 
 from cranberryhold.addresses import Address
 from cranberryhold.exceptions import SettingsError
@@ -141,6 +142,36 @@
         assert took_s < core.settings.stop_limit_s
 
 
+async def test_an_entry_instance_leaves_the_rotation_soon_although_its_zone_needs_it(
+    monkeypatch,
+):
+    # The users count an instance that is ready 4 s after it was told to stop as one
+    # that does not drain.
+    async with running_site() as site:
+        core = await site.start_entry(1)
+        await site.start_sidecar(4)
+        await until(core.is_ready)
+        for number, ready in ((2, True), (3, False)):
+            ip = inet_aton(machine_ip(number))
+            status = EntryStatus(number, "a", 1, ready, 60_000)
+            core.member.peers.update_entry(ip, status)
+        settings = structs.replace(core.settings, stop_limit_s=6.0)
+        monkeypatch.setattr(core, "_settings", settings)
+        daemon = EntryDaemon(
+            core,
+            PlatformStore(HttpClient(Address(machine_ip(14), 1), 1), lambda _: None),
+            read_settings=lambda: settings,
+            on_settings=lambda _: None,
+        )
+        started_at = time.monotonic()
+        leaving = asyncio.create_task(daemon._leave_rotation())
+        await until(lambda: not core.is_ready())
+        # Two probes, half a second apart, must still fail within the 4 s.
+        assert time.monotonic() - started_at < 3.0
+        assert core._status().stopping
+        leaving.cancel()
+
+
 class FakeCore:
     def __init__(self):
         self.readings = []
--- a/tests/test_flow_peers.py
+++ b/tests/test_flow_peers.py
@@ -18,6 +18,7 @@
     PEER_EXPIRY_S,
     UNKNOWN_TARGET_TIMEOUT_S,
     Peers,
+    Rotation,
 )
 from cranberryhold.flows.rendezvous import rendezvous_order
 from cranberryhold.flows.target_state import NO_TARGET, UNKNOWN_SERVICE
@@ -271,6 +272,15 @@
         peers.update_entry(self.ip(100), EntryStatus(7, "b", 1, True))
         assert peers.rotation().tolerates_withdrawal() == borne
 
+    def test_an_entry_instance_that_stops_counts_as_absent(self):
+        # Its neighbors take its place before it leaves.
+        peers, _ = self.peers()
+        for number in (1, 2, 3):
+            stopping = number == 3
+            status = EntryStatus(number, "a", 1, True, stopping=stopping)
+            peers.update_entry(self.ip(number), status)
+        assert peers.rotation() == Rotation(2, 1)
+
     def test_a_departed_entry_instance_counts_as_absent_until_it_returns(self):
         peers, _ = self.peers()
         for number in (1, 2):
@@ -295,7 +305,7 @@
 
 
 def test_a_message_of_a_newer_version_is_decoded_without_its_additional_fields():
-    new = msgpack.encode([2, 7, "a", 3, True, 500, 9, "additional"])
+    new = msgpack.encode([2, 7, "a", 3, True, 500, 9, False, "additional"])
     assert decode_message(new) == EntryStatus(7, "a", 3, True, 500, 9)
 
 
--- a/tests/test_rotation_guard.py
+++ b/tests/test_rotation_guard.py
@@ -30,7 +30,15 @@
         self.guard = RotationGuard(Random(seed))
         self.now = 100.0
 
-    def run(self, seconds, *, utilization=0.0, lateness_s=0.0, may_leave=True):
+    def run(
+        self,
+        seconds,
+        *,
+        utilization=0.0,
+        lateness_s=0.0,
+        may_leave=True,
+        is_needed=False,
+    ):
         """Return the times at which the state changed, since the start."""
         changes = []
         for _ in range(round(seconds / STEP_S)):
@@ -39,6 +47,7 @@
                 utilization=utilization,
                 lateness_s=lateness_s,
                 may_leave=lambda: may_leave,
+                is_needed=lambda: is_needed,
                 now=self.now,
             ):
                 changes.append(self.now)
@@ -82,6 +91,15 @@
     assert instance.run(0.2, utilization=1.5)
 
 
+def test_an_instance_returns_at_once_when_its_zone_needs_it():
+    # A neighbor that was told to stop waited for the overloaded ones, and was still
+    # ready 4 s later. With fewer than half ready, the fabric sends to all anyway.
+    instance = Instance()
+    assert instance.run(2.0, utilization=1.0)
+    (returned,) = instance.run(0.5, utilization=1.0, is_needed=True)
+    assert returned == pytest.approx(102.0 + STEP_S)
+
+
 def test_an_instance_that_relapses_stays_away_longer_up_to_a_bound():
     instance = Instance()
     away = []
@@ -108,6 +126,7 @@
                 utilization=1.0 if number < overloaded else 0.2,
                 lateness_s=0.0,
                 may_leave=rotation.keeps_half,
+                is_needed=rotation.needs_others,
                 now=now,
             )
             known[number] = guard.in_rotation
@@ -120,3 +139,13 @@
 )
 def test_the_others_must_be_half_of_the_zone(ready, absent, expected):
     assert Rotation(ready, absent).keeps_half() == expected
+
+
+@pytest.mark.parametrize(
+    ("ready", "absent", "expected"),
+    [(0, 0, True), (2, 2, True), (3, 2, False), (2, 3, True), (3, 3, True)],
+)
+def test_the_zone_needs_an_instance_if_less_than_half_are_ready(
+    ready, absent, expected
+):
+    assert Rotation(ready, absent).needs_others() == expected
--- a/tests/test_upload_burst.py
+++ b/tests/test_upload_burst.py
@@ -73,6 +73,7 @@
             utilization=self.link.lasting_utilization(now),
             lateness_s=0.0,
             may_leave=rotation.keeps_half,
+            is_needed=rotation.needs_others,
             now=now,
         ):
             self.changed_at = now
@@ -100,7 +101,8 @@
         for entry in entries:
             entry.receive(now)
         for entry in entries:
-            ready = sum(other.guard.in_rotation for other in entries) - 1
+            others = [other for other in entries if other is not entry]
+            ready = sum(other.guard.in_rotation for other in others)
             entry.update_rotation(ready, now)
 
 
