Share the sending of statuses, and remove state that follows from other state

Found by reading the whole change again; behaviour stays as it is. - The two daemons' cores held the same code for statuses at once and in rounds; a StatusSender serves both. - HttpClient kept the connections of its calls to abort them at the end of a context; as connections are not used again, none is open by then. The context manager is gone. - Rotation.needs_others was the negation of keeps_half under a name that says something else. The announcer remembered what follows from the time of its next reading. The status that confirms a target was set in two places. - A known flow was looked up for the first SYN of every route, now of bulk routes only. - The stand-in platform gave the port after the first internal one as the second, which could be another port of the same machine, seldom: a flaky start in tests.

--- a/emulator/flow_target.py
+++ b/emulator/flow_target.py
@@ -11,7 +11,7 @@
 
 from cranberryhold.addresses import Address
 from cranberryhold.exceptions import PeerError
-from cranberryhold.flows.http_client import http_client
+from cranberryhold.flows.http_client import HttpClient
 from cranberryhold.flows.segments import Endpoint, Segment
 from cranberryhold.platform.packets import ACK, FIN, RST, SYN, PacketCodec
 from emulator.flow_packets import flow_packet, has_valid_checksum, returned_packet
@@ -237,17 +237,16 @@
 
     async def _post(self, operation: str, body: bytes) -> bool:
         address = Address(self.ip, self._ports.heartbeats)
-        async with http_client(address, MAX_PACKET_BYTES) as client:
-            try:
-                status, _ = await client.call(
-                    "POST",
-                    f"/instances/{self.name}/{operation}",
-                    body,
-                    HEARTBEAT_TIMEOUT_S,
-                )
-            except PeerError:
-                # The sidecar is down or paused; the next heartbeat repeats the report.
-                return False
+        try:
+            status, _ = await HttpClient(address, MAX_PACKET_BYTES).call(
+                "POST",
+                f"/instances/{self.name}/{operation}",
+                body,
+                HEARTBEAT_TIMEOUT_S,
+            )
+        except PeerError:
+            # The sidecar is down or paused; the next heartbeat repeats the report.
+            return False
         return status == 200
 
 
--- a/emulator/packet_router.py
+++ b/emulator/packet_router.py
@@ -10,7 +10,7 @@
 
 from cranberryhold.addresses import Address
 from cranberryhold.exceptions import PeerError
-from cranberryhold.flows.http_client import http_client
+from cranberryhold.flows.http_client import HttpClient
 
 PROBE_INTERVAL_S = 0.5
 PROBE_TIMEOUT_S = 0.45
@@ -96,16 +96,16 @@
             self._socket.sendto(packet, (entry, self._packet_port))
 
     async def _probe(self, ip: str) -> None:
-        async with http_client(Address(ip, self._ready_port), MAX_HEALTH_BYTES) as http:
-            while True:
-                started_at = asyncio.get_running_loop().time()
-                try:
-                    status, _ = await http.call("GET", "/readyz", b"", PROBE_TIMEOUT_S)
-                except PeerError:
-                    # A failed probe, like any status other than 200.
-                    status = 0
-                self._failed_probes[ip] = (
-                    0 if status == 200 else self._failed_probes[ip] + 1
-                )
-                elapsed_s = asyncio.get_running_loop().time() - started_at
-                await asyncio.sleep(max(0.0, PROBE_INTERVAL_S - elapsed_s))
+        http = HttpClient(Address(ip, self._ready_port), MAX_HEALTH_BYTES)
+        while True:
+            started_at = asyncio.get_running_loop().time()
+            try:
+                status, _ = await http.call("GET", "/readyz", b"", PROBE_TIMEOUT_S)
+            except PeerError:
+                # A failed probe, like any status other than 200.
+                status = 0
+            self._failed_probes[ip] = (
+                0 if status == 200 else self._failed_probes[ip] + 1
+            )
+            elapsed_s = asyncio.get_running_loop().time() - started_at
+            await asyncio.sleep(max(0.0, PROBE_INTERVAL_S - elapsed_s))
--- a/emulator/platform_files.py
+++ b/emulator/platform_files.py
@@ -2,7 +2,7 @@
 
 import json
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import astuple, dataclass
 
 # Published limits of the users' deployments, in seconds.
 GRACE_PERIOD_S = 6.0
@@ -32,6 +32,12 @@
     outbound: int
     heartbeats: int
 
+    @property
+    def last_internal(self) -> int:
+        """End of the range of internal ports, which has one or two ports."""
+        second = self.internal + 1
+        return self.internal if second in astuple(self) else second
+
 
 def settings_file(
     name: str,
@@ -62,7 +68,7 @@
                 "controlPlane": address(ports.heartbeats),
                 "outbound": address(ports.outbound),
             },
-            "internalPorts": [ports.internal, ports.internal + 1],
+            "internalPorts": [ports.internal, ports.last_internal],
             "seedAddrs": [f"{seed}:{ports.heartbeats}" for seed in seeds],
             "heartbeatIntervalMs": round(heartbeat_interval_s * 1000),
             "bounds": {
--- a/src/cranberryhold/flows/announcement.py
+++ b/src/cranberryhold/flows/announcement.py
@@ -71,7 +71,6 @@
         # needs entry instances only, which contact it themselves if it missed one; an
         # exact list costs ten times as much.
         self._needs_exact_list = entry.role == "entry"
-        self._list_read = False
 
     async def run(self) -> None:
         """Write the entry, renew its lease and read the members, until cancelled."""
@@ -82,7 +81,7 @@
             try:
                 await self._maintain_entry()
                 if loop.time() >= next_read_at:
-                    await self._read_members()
+                    await self._read_members(is_first=not next_read_at)
                     next_read_at = loop.time() + MEMBERS_READ_INTERVAL_S
             except LeaseLostError:
                 self._telemetry.event("lease-lost", key=self._key, lease=self._lease)
@@ -130,12 +129,10 @@
                 )
                 return
 
-    async def _read_members(self) -> None:
-        is_first = not self._list_read
+    async def _read_members(self, *, is_first: bool) -> None:
         items = await self._store.list_items(
             MEMBERS_PREFIX, may_be_stale=not (is_first and self._needs_exact_list)
         )
-        self._list_read = True
         own = next((item for item in items if item.key == self._key), None)
         if not is_first and (own is None or own.value != self._value):
             # A stale list can lack the entry as well; the next write is then redundant
--- a/src/cranberryhold/flows/configuration.py
+++ b/src/cranberryhold/flows/configuration.py
@@ -7,7 +7,7 @@
 from cranberryhold.exceptions import PeerError, StoreError
 from cranberryhold.flows.adoption import ConfigurationAdopter
 from cranberryhold.flows.dependency import Dependency
-from cranberryhold.flows.http_client import http_client
+from cranberryhold.flows.http_client import HttpClient
 from cranberryhold.flows.leased_store import (
     STORE_BACKOFF_S,
     LeasedStore,
@@ -96,10 +96,9 @@
             return
         self._fetching = True
         try:
-            async with http_client(peer, MAX_DOCUMENT_BYTES) as client:
-                status, body = await client.call(
-                    "GET", CONFIGURATION_PATH, b"", PEER_TIMEOUT_S
-                )
+            status, body = await HttpClient(peer, MAX_DOCUMENT_BYTES).call(
+                "GET", CONFIGURATION_PATH, b"", PEER_TIMEOUT_S
+            )
             if status == 200:
                 self._adopter.adopt(body, source=str(peer))
         except PeerError as error:
--- a/src/cranberryhold/flows/entry_core.py
+++ b/src/cranberryhold/flows/entry_core.py
@@ -32,6 +32,7 @@
     ENTRY_STATUS_INTERVAL_S,
     StatusSchedule,
 )
+from cranberryhold.flows.status_sender import StatusSender
 from cranberryhold.flows.telemetry import Telemetry
 from cranberryhold.flows.udp import UdpSocket, open_udp
 
@@ -59,6 +60,11 @@
         self._settings = settings
         self._telemetry = telemetry
         self._member = Member(settings, telemetry, on_discovered=self._send_status_to)
+        self._statuses = StatusSender(
+            self._member,
+            StatusSchedule(ENTRY_STATUS_INTERVAL_S, ENTRY_MAX_ROUNDS),
+            self._status,
+        )
         self._routes = RouteTable(settings.max_flow_s)
         self._link = LinkLoad(settings.link_bytes_s)
         self._datapath = EntryDatapath(
@@ -79,7 +85,6 @@
             monotonic=time.monotonic,
             on_change=self._handle_adopted,
         )
-        self._schedule = StatusSchedule(ENTRY_STATUS_INTERVAL_S, ENTRY_MAX_ROUNDS)
         self._packet_socket: UdpSocket | None = None
         self._status_socket: UdpSocket | None = None
         self._configured_at: float | None = None
@@ -168,22 +173,14 @@
     def announce(self) -> None:
         """Send the status of this instance to all members at once."""
         self._send_status_to_entries()
-        self._member.send_all(self._member.peers.sidecar_ips(), self._status())
+        self._statuses.send_to(self._member.peers.sidecar_ips())
 
     def send_status(self) -> float:
         """Send the status to the members whose turn it is.
 
         :return: seconds until the next call is due.
         """
-        peers = self._member.peers
-        turn = self._schedule.next_round(
-            peers.local_entry_ips(), [*peers.remote_entry_ips(), *peers.sidecar_ips()]
-        )
-        self._member.send_regular_status(turn.local, self._status(turn.interval_s))
-        self._member.send_regular_status(
-            turn.remote, self._status(turn.remote_interval_s)
-        )
-        return turn.interval_s
+        return self._statuses.send_round(self._member.peers.sidecar_ips())
 
     def begin_stop(self) -> None:
         """Tell the neighbors that this instance will leave the rotation."""
@@ -213,7 +210,7 @@
             utilization=utilization,
             lateness_s=lateness_s,
             may_leave=self._may_leave_rotation,
-            is_needed=lambda: self._member.peers.rotation().needs_others(),
+            is_needed=lambda: not self._member.peers.rotation().keeps_half(),
             now=now,
         )
         if changed:
@@ -279,13 +276,13 @@
             case SidecarStatus():
                 if self._member.peers.update_sidecar(ip, message):
                     self._member.handle_new_peer(ip, message.zone)
-                    self._member.send(ip, self._status())
+                    self._statuses.send_to([ip])
                 if self.is_ready() != self._sent_ready:
                     self._send_status_to_entries()
             case EntryStatus():
                 if self._member.peers.update_entry(ip, message):
                     self._member.handle_new_peer(ip, message.zone)
-                    self._member.send(ip, self._status())
+                    self._statuses.send_to([ip])
                 self._routes.record_known_version(message.version)
                 if message.version > self._routes.version:
                     self._notify_newer_version(ip, message.version)
@@ -300,14 +297,11 @@
                 Address.unpack(ip + port.to_bytes(2, "big")), version
             )
 
-    def _status(self, interval_s: float | None = None) -> EntryStatus:
+    def _status(self, interval_s: float) -> EntryStatus:
         """Return the status of this instance.
 
-        :param interval_s: seconds until the next status for the same receiver; None
-            for the longest possible.
+        :param interval_s: seconds until the next status for the same receiver.
         """
-        if interval_s is None:
-            interval_s = self._schedule.longest_interval_s
         status_address = self._settings.status_address
         return EntryStatus(
             self._member.process,
@@ -320,7 +314,7 @@
         )
 
     def _send_status_to(self, ips: list[bytes]) -> None:
-        self._member.send_all(ips, self._status())
+        self._statuses.send_to(ips)
 
     def _handle_adopted(self) -> None:
         if self._configured_at is None:
@@ -329,7 +323,4 @@
 
     def _send_status_to_entries(self) -> None:
         self._sent_ready = self.is_ready()
-        peers = self._member.peers
-        local_status = self._status(self._schedule.interval_s)
-        self._member.send_all(peers.local_entry_ips(), local_status)
-        self._member.send_all(peers.remote_entry_ips(), self._status())
+        self._statuses.send_to_entries()
--- a/src/cranberryhold/flows/entry_datapath.py
+++ b/src/cranberryhold/flows/entry_datapath.py
@@ -162,10 +162,10 @@
         would end a flow that is open.
         """
         route = (segment.destination, segment.destination_port)
-        is_first = segment.acknowledgment == 0 and self._flows.get(key) is None
         return (
-            is_first
+            segment.acknowledgment == 0
             and self._routes.is_bulk(*route)
+            and self._flows.get(key) is None
             and self._shedding.refuses(route, self._link.utilization(now), now)
         )
 
--- a/src/cranberryhold/flows/http_client.py
+++ b/src/cranberryhold/flows/http_client.py
@@ -6,8 +6,6 @@
 """
 
 import asyncio
-from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
 
 import httptools
 
@@ -28,7 +26,6 @@
     def __init__(self, address: Address, max_body_bytes: int) -> None:
         self._address = address
         self._max_body_bytes = max_body_bytes
-        self._writers: set[asyncio.StreamWriter] = set()
 
     async def call(
         self, method: str, target: str, body: bytes, timeout_s: float
@@ -57,14 +54,8 @@
         """Send later calls to another server."""
         self._address = address
 
-    def close(self) -> None:
-        """Abort the calls in progress."""
-        for writer in self._writers:
-            writer.transport.abort()
-
     async def _exchange(self, address: Address, request: bytes) -> ResponseParser:
         reader, writer = await asyncio.open_connection(address.ip, address.port)
-        self._writers.add(writer)
         try:
             writer.write(request)
             parser = ResponseParser(self._max_body_bytes)
@@ -75,17 +66,4 @@
                 parser.feed(data)
             return parser
         finally:
-            self._writers.discard(writer)
             writer.transport.abort()
-
-
-@asynccontextmanager
-async def http_client(
-    address: Address, max_body_bytes: int
-) -> AsyncIterator[HttpClient]:
-    """Yield a client, and abort its calls afterwards."""
-    client = HttpClient(address, max_body_bytes)
-    try:
-        yield client
-    finally:
-        client.close()
--- a/src/cranberryhold/flows/peers.py
+++ b/src/cranberryhold/flows/peers.py
@@ -127,15 +127,8 @@
 
     def keeps_half(self) -> bool:
         """Whether half of the zone's instances are ready without this one."""
-        return not self.needs_others()
-
-    def needs_others(self) -> bool:
-        """Whether less than half of the zone's instances are ready without this one.
-
-        The fabric then sends packets to all of them, whatever they report.
-        """
         total = self.ready + self.absent + 1
-        return self.ready == 0 or 2 * self.ready < total
+        return self.ready > 0 and 2 * self.ready >= total
 
 
 class Peers:
@@ -192,7 +185,9 @@
     def status_port_of(self, ip: bytes, default: int) -> int:
         """Return the port where a member takes regular statuses."""
         entry = self._entries.get(ip)
-        return entry.status.status_port or default if entry is not None else default
+        if entry is None:
+            return default
+        return entry.status.status_port or default
 
     def sidecar_ips(self) -> list[bytes]:
         """Return the addresses of the sidecars to send statuses to."""
@@ -225,9 +220,9 @@
         now = self._monotonic()
         peer = self._sidecars.get(ip)
         self._listed_sidecars.pop(ip, None)
+        confirmed = status if _is_confirmed(status) else None
         if peer is None:
-            peer = self._sidecars[ip] = SidecarPeer(ip, status, now)
-            peer.confirmed = status if _is_confirmed(status) else None
+            self._sidecars[ip] = SidecarPeer(ip, status, now, confirmed=confirmed)
             return True
         new = peer.status.process != status.process
         if peer.restarting and not new:
@@ -238,8 +233,7 @@
             0,
             False,
         )
-        if _is_confirmed(status):
-            peer.confirmed = status
+        peer.confirmed = confirmed or peer.confirmed
         return new
 
     def update_entry(self, ip: bytes, status: EntryStatus) -> bool:
--- a/src/cranberryhold/flows/sidecar_core.py
+++ b/src/cranberryhold/flows/sidecar_core.py
@@ -16,6 +16,7 @@
     SIDECAR_STATUS_INTERVAL_S,
     StatusSchedule,
 )
+from cranberryhold.flows.status_sender import StatusSender
 from cranberryhold.flows.target_state import TargetState
 from cranberryhold.flows.telemetry import Telemetry
 from cranberryhold.flows.udp import UdpSocket, open_udp
@@ -42,6 +43,11 @@
         self._member = Member(
             settings.member, telemetry, on_discovered=self._send_status_to
         )
+        self._statuses = StatusSender(
+            self._member,
+            StatusSchedule(SIDECAR_STATUS_INTERVAL_S, SIDECAR_MAX_ROUNDS),
+            self._status,
+        )
         self._target = TargetState(
             settings.heartbeat_interval_s, settings.address_reuse_s
         )
@@ -59,7 +65,6 @@
         self._target_ip = inet_aton(settings.target_address.ip)
         self._packet_socket: UdpSocket | None = None
         self._outbound_socket: UdpSocket | None = None
-        self._schedule = StatusSchedule(SIDECAR_STATUS_INTERVAL_S, SIDECAR_MAX_ROUNDS)
         self._sent_accepts = False
 
     @property
@@ -113,26 +118,14 @@
 
     def announce(self) -> None:
         """Send the target's status to all entry instances at once."""
-        peers = self._member.peers
-        local_status = self._status(self._schedule.interval_s)
-        self._member.send_all(peers.local_entry_ips(), local_status)
-        self._member.send_all(peers.remote_entry_ips(), self._status())
+        self._statuses.send_to_entries()
 
     def send_status(self) -> float:
         """Send the target's status to the entry instances whose turn it is.
 
         :return: seconds until the next call is due.
         """
-        peers = self._member.peers
-        turn = self._schedule.next_round(
-            peers.local_entry_ips(), peers.remote_entry_ips()
-        )
-        self._member.send_regular_status(turn.local, self._status(turn.interval_s))
-        if turn.remote:
-            self._member.send_regular_status(
-                turn.remote, self._status(turn.remote_interval_s)
-            )
-        return turn.interval_s
+        return self._statuses.send_round()
 
     def acceptance_changed(self) -> bool:
         """Whether acceptance of new flows changed since the last status was sent."""
@@ -185,18 +178,15 @@
         if isinstance(message, EntryStatus):
             if self._member.peers.update_entry(ip, message):
                 self._member.handle_new_peer(ip, message.zone)
-                self._member.send(ip, self._status())
+                self._statuses.send_to([ip])
         elif not isinstance(message, SidecarStatus):
             self._telemetry.count("messages_unexpected")
 
-    def _status(self, interval_s: float | None = None) -> SidecarStatus:
+    def _status(self, interval_s: float) -> SidecarStatus:
         """Return the status of the target.
 
-        :param interval_s: seconds until the next status for the same receiver; None
-            for the longest possible.
+        :param interval_s: seconds until the next status for the same receiver.
         """
-        if interval_s is None:
-            interval_s = self._schedule.longest_interval_s
         self._sent_accepts = self._datapath.accepts_flows()
         return SidecarStatus(
             self._member.process,
@@ -212,4 +202,4 @@
         )
 
     def _send_status_to(self, ips: list[bytes]) -> None:
-        self._member.send_all(ips, self._status())
+        self._statuses.send_to(ips)
--- a/src/cranberryhold/platform/entry_runner.py
+++ b/src/cranberryhold/platform/entry_runner.py
@@ -5,7 +5,7 @@
 from cranberryhold.flows.early_forwarding import SocketHandler
 from cranberryhold.flows.entry_core import EntryCore
 from cranberryhold.flows.entry_daemon import EntryDaemon
-from cranberryhold.flows.http_client import http_client
+from cranberryhold.flows.http_client import HttpClient
 from cranberryhold.flows.leased_store import BootstrapState
 from cranberryhold.flows.member_daemon import run_until_exit
 from cranberryhold.platform.settings import member_settings, read_settings
@@ -21,15 +21,15 @@
     """Run until the process is told to stop."""
 
     async def run() -> None:
-        async with http_client(core.settings.store, max_store_body_bytes) as client:
-            store = PlatformStore(client, core.telemetry.count)
-            daemon = EntryDaemon(
-                core,
-                store,
-                read_settings=lambda: member_settings(read_settings()),
-                on_settings=lambda settings: client.set_address(settings.store),
-            )
-            revision = bootstrap.store_revision if bootstrap is not None else None
-            await daemon.run(socket_handlers, revision)
+        client = HttpClient(core.settings.store, max_store_body_bytes)
+        store = PlatformStore(client, core.telemetry.count)
+        daemon = EntryDaemon(
+            core,
+            store,
+            read_settings=lambda: member_settings(read_settings()),
+            on_settings=lambda settings: client.set_address(settings.store),
+        )
+        revision = bootstrap.store_revision if bootstrap is not None else None
+        await daemon.run(socket_handlers, revision)
 
     asyncio.run(run_until_exit(run()))
--- a/src/cranberryhold/platform/sidecar_runner.py
+++ b/src/cranberryhold/platform/sidecar_runner.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from cranberryhold.flows.early_forwarding import SocketHandler
-from cranberryhold.flows.http_client import http_client
+from cranberryhold.flows.http_client import HttpClient
 from cranberryhold.flows.member_daemon import run_until_exit
 from cranberryhold.flows.sidecar_core import SidecarCore
 from cranberryhold.flows.sidecar_daemon import SidecarDaemon
@@ -19,14 +19,14 @@
 
     async def run() -> None:
         address = core.settings.member.store
-        async with http_client(address, max_store_body_bytes) as client:
-            daemon = SidecarDaemon(
-                core,
-                PlatformStore(client, core.telemetry.count),
-                PlatformHeartbeatReader(str(core.settings.target_address)),
-                read_settings=lambda: sidecar_settings(read_settings()),
-                on_settings=lambda settings: client.set_address(settings.member.store),
-            )
-            await daemon.run(socket_handlers)
+        client = HttpClient(address, max_store_body_bytes)
+        daemon = SidecarDaemon(
+            core,
+            PlatformStore(client, core.telemetry.count),
+            PlatformHeartbeatReader(str(core.settings.target_address)),
+            read_settings=lambda: sidecar_settings(read_settings()),
+            on_settings=lambda settings: client.set_address(settings.member.store),
+        )
+        await daemon.run(socket_handlers)
 
     asyncio.run(run_until_exit(run()))
--- a/tests/flow_site.py
+++ b/tests/flow_site.py
@@ -11,7 +11,7 @@
 from cranberryhold.addresses import Address
 from cranberryhold.flows.entry_core import EntryCore
 from cranberryhold.flows.entry_daemon import EntryDaemon
-from cranberryhold.flows.http_client import http_client
+from cranberryhold.flows.http_client import HttpClient
 from cranberryhold.flows.settings import FlowSidecarSettings, MemberSettings
 from cranberryhold.flows.sidecar_core import SidecarCore
 from cranberryhold.flows.sidecar_daemon import SidecarDaemon
@@ -123,7 +123,7 @@
         telemetry = Telemetry(f"entry-{number}", self.lines, _monotonic())
         settings = self.member(machine_ip(number))
         core = EntryCore(settings, PacketCodec(), OperatorConfiguration(), telemetry)
-        store = await self._connect_store(telemetry)
+        store = self._connect_store(telemetry)
         daemon = EntryDaemon(
             core, store, read_settings=lambda: settings, on_settings=lambda _: None
         )
@@ -149,7 +149,7 @@
             address_reuse_s=30.0,
         )
         core = SidecarCore(settings, PacketCodec(), telemetry)
-        store = await self._connect_store(telemetry)
+        store = self._connect_store(telemetry)
         daemon = SidecarDaemon(
             core,
             store,
@@ -188,10 +188,8 @@
         self, number: int, port: int, method: str, path: str, body: bytes = b""
     ) -> tuple[int, bytes]:
         """Send an HTTP request to a machine, and retry until it is answered."""
-        async with (
-            asyncio.timeout(10),
-            http_client(Address(machine_ip(number), port), 1 << 20) as client,
-        ):
+        client = HttpClient(Address(machine_ip(number), port), 1 << 20)
+        async with asyncio.timeout(10):
             while True:
                 try:
                     return await client.call(method, path, body, 2.0)
@@ -216,11 +214,8 @@
         data, _ = await self._caller.receive()
         return PacketCodec().decode(data)
 
-    async def _connect_store(self, telemetry: Telemetry) -> PlatformStore:
-        client = await self._stack.enter_async_context(
-            http_client(self._store_address, 1 << 20)
-        )
-        return PlatformStore(client, telemetry.count)
+    def _connect_store(self, telemetry: Telemetry) -> PlatformStore:
+        return PlatformStore(HttpClient(self._store_address, 1 << 20), telemetry.count)
 
     def _run(self, coroutine) -> None:
         task = asyncio.create_task(coroutine)
--- a/tests/test_flow_daemons.py
+++ b/tests/test_flow_daemons.py
@@ -168,7 +168,7 @@
         await until(lambda: not core.is_ready())
         # Two probes, half a second apart, must still fail within the 4 s.
         assert time.monotonic() - started_at < 3.0
-        assert core._status().stopping
+        assert core._status(1.0).stopping
         leaving.cancel()
 
 
--- a/tests/test_flow_processes.py
+++ b/tests/test_flow_processes.py
@@ -20,7 +20,7 @@
 
 from cranberryhold.addresses import Address
 from cranberryhold.exceptions import PeerError
-from cranberryhold.flows.http_client import http_client
+from cranberryhold.flows.http_client import HttpClient
 from cranberryhold.flows.telemetry import Telemetry
 from cranberryhold.platform.settings import METRICS_PORT
 from emulator.metadata_store import metadata_store
@@ -77,8 +77,7 @@
 
 
 async def get(ip: str, port: int, path: str) -> tuple[int, bytes]:
-    async with http_client(Address(ip, port), 1 << 20) as client:
-        return await client.call("GET", path, b"", 5.0)
+    return await HttpClient(Address(ip, port), 1 << 20).call("GET", path, b"", 5.0)
 
 
 async def get_until(ip: str, port: int, path: str, status: int) -> bytes:
--- a/tests/test_flow_store.py
+++ b/tests/test_flow_store.py
@@ -18,7 +18,7 @@
     ConfigurationFollower,
 )
 from cranberryhold.flows.dependency import Dependency
-from cranberryhold.flows.http_client import http_client
+from cranberryhold.flows.http_client import HttpClient
 from cranberryhold.flows.http_server import Response, serving_http
 from cranberryhold.flows.leased_store import (
     LeaseLostError,
@@ -46,10 +46,8 @@
 async def running_store():
     address = Address(LOOPBACK_IP, free_port())
     telemetry = create_telemetry()
-    async with (
-        metadata_store(address, telemetry) as stand_in,
-        http_client(address, 1 << 20) as client,
-    ):
+    client = HttpClient(address, 1 << 20)
+    async with metadata_store(address, telemetry) as stand_in:
         yield stand_in, PlatformStore(client, telemetry.count)
 
 
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -8,7 +8,7 @@
 
 from cranberryhold.addresses import Address
 from cranberryhold.exceptions import PeerError
-from cranberryhold.flows.http_client import HttpClient, http_client
+from cranberryhold.flows.http_client import HttpClient
 from cranberryhold.platform.bootstrap import read_bootstrap_state
 from tests.sockets import LOOPBACK_IP
 
@@ -39,8 +39,8 @@
 
     server = await asyncio.start_server(serve, LOOPBACK_IP, 0)
     address = Address(*server.sockets[0].getsockname())
-    async with server, http_client(address, 1 << 16) as client:
-        yield client, requests
+    async with server:
+        yield HttpClient(address, 1 << 16), requests
 
 
 async def get(client: HttpClient, path: str) -> str:
--- a/tests/test_rotation_guard.py
+++ b/tests/test_rotation_guard.py
@@ -126,7 +126,7 @@
                 utilization=1.0 if number < overloaded else 0.2,
                 lateness_s=0.0,
                 may_leave=rotation.keeps_half,
-                is_needed=rotation.needs_others,
+                is_needed=lambda r=rotation: not r.keeps_half(),
                 now=now,
             )
             known[number] = guard.in_rotation
@@ -148,4 +148,4 @@
 def test_the_zone_needs_an_instance_if_less_than_half_are_ready(
     ready, absent, expected
 ):
-    assert Rotation(ready, absent).needs_others() == expected
+    assert (not Rotation(ready, absent).keeps_half()) == expected
--- a/tests/test_upload_burst.py
+++ b/tests/test_upload_burst.py
@@ -73,7 +73,7 @@
             utilization=self.link.lasting_utilization(now),
             lateness_s=0.0,
             may_leave=rotation.keeps_half,
-            is_needed=rotation.needs_others,
+            is_needed=lambda: not rotation.keeps_half(),
             now=now,
         ):
             self.changed_at = now
--- a/tools/soak/pages.py
+++ b/tools/soak/pages.py
@@ -6,7 +6,7 @@
 
 from cranberryhold.addresses import Address
 from cranberryhold.exceptions import PeerError
-from cranberryhold.flows.http_client import http_client
+from cranberryhold.flows.http_client import HttpClient
 from cranberryhold.platform.settings import METRICS_PORT
 from tools.processes import RunningProcess
 from tools.soak.invariants import InvariantChecker
@@ -62,8 +62,8 @@
 
 async def _read_page(ip: str) -> str | None:
     try:
-        async with http_client(Address(ip, METRICS_PORT), MAX_PAGE_BYTES) as client:
-            status, body = await client.call("GET", "/metrics", b"", PAGE_TIMEOUT_S)
+        client = HttpClient(Address(ip, METRICS_PORT), MAX_PAGE_BYTES)
+        status, body = await client.call("GET", "/metrics", b"", PAGE_TIMEOUT_S)
     except PeerError:
         return None
     return body.decode() if status == 200 else None
