Log how old the confirmation of a configuration is, and its watch apart

For a request handled by an older configuration, the logs gave its version but not how long ago the store had confirmed it, and "dependency-regained name=store" appeared while the watch of the configuration still waited for a lost response, because the registration shared its record of the store.

Entry daemons now log confirmed_s with each adopted version, each offered and each refused flow, serve it as a gauge, and keep a dependency of their own for the watch. No decision changes.

--- a/src/cranberryhold/flows/adoption.py
+++ b/src/cranberryhold/flows/adoption.py
@@ -75,7 +75,8 @@
                 "configuration-malformed", level="ERROR", error=error, **origin
             )
             return
-        if not self._routes.adopt(configuration, self._monotonic()):
+        now = self._monotonic()
+        if not self._routes.adopt(configuration, now):
             return
         added, removed = changed_routes(
             current.routes if current else (), configuration.routes
@@ -88,6 +89,7 @@
             routes=len(configuration.routes),
             added=len(added),
             removed=",".join(removed[:10]),
+            confirmed_s=round(self._routes.confirmation_age_s(now), 3),
             **origin,
         )
         self._on_change()
--- a/src/cranberryhold/flows/configuration.py
+++ b/src/cranberryhold/flows/configuration.py
@@ -31,7 +31,8 @@
     :param adopter: applies documents.
     :param store: the store.
     :param telemetry: log and counters.
-    :param dependency: records whether the store is available.
+    :param dependency: records whether changes can be followed. It is not shared with
+        other callers of the store, whose calls may succeed while a watch is lost.
     :param random: source of jitter.
     """
 
--- a/src/cranberryhold/flows/entry_core.py
+++ b/src/cranberryhold/flows/entry_core.py
@@ -241,13 +241,17 @@
 
     def gauges(self) -> Mapping[str, float]:
         """Return sizes and versions for the metrics."""
+        now = time.monotonic()
         return {
             "flows": len(self._datapath.flows),
             "log_lines_dropped": self._telemetry.lines_dropped,
             "entries": len(self._member.peers.entries),
             "sidecars": len(self._member.peers.sidecars),
             "configuration_version": self._routes.version,
-            "link_utilization": self._link.utilization(time.monotonic()),
+            "configuration_confirmation_age_seconds": self._routes.confirmation_age_s(
+                now
+            ),
+            "link_utilization": self._link.utilization(now),
         }
 
     def send_to_sidecar(self, ip: bytes, datagram: bytes) -> None:
--- a/src/cranberryhold/flows/entry_daemon.py
+++ b/src/cranberryhold/flows/entry_daemon.py
@@ -6,6 +6,7 @@
 
 from cranberryhold.addresses import Address
 from cranberryhold.flows.configuration import CONFIGURATION_PATH, ConfigurationFollower
+from cranberryhold.flows.dependency import Dependency
 from cranberryhold.flows.early_forwarding import SocketHandler
 from cranberryhold.flows.entry_core import EntryCore
 from cranberryhold.flows.http_server import Request, Response
@@ -67,7 +68,7 @@
             core.adopter,
             store,
             self._telemetry,
-            dependency=self._components.store_dependency,
+            dependency=Dependency("configuration", self._telemetry, time.monotonic),
             random=self._member.random,
         )
         self._fetches: set[asyncio.Task[None]] = set()
--- a/src/cranberryhold/flows/entry_datapath.py
+++ b/src/cranberryhold/flows/entry_datapath.py
@@ -147,6 +147,7 @@
             running=peer.status.running if peer else None,
             status_age_s=round(now - peer.last_seen, 3) if peer else None,
             version=self._routes.version,
+            confirmed_s=self._confirmation_age_s(now),
         )
         self._send(Purpose.OPEN, service, tuple(candidates), packet)
 
@@ -258,4 +259,8 @@
             key,
             reason=reason,
             version=self._routes.version,
+            confirmed_s=self._confirmation_age_s(self._monotonic()),
         )
+
+    def _confirmation_age_s(self, now: float) -> float:
+        return round(self._routes.confirmation_age_s(now), 3)
--- a/src/cranberryhold/flows/member_daemon.py
+++ b/src/cranberryhold/flows/member_daemon.py
@@ -143,7 +143,6 @@
 
         member, telemetry = core.member, core.telemetry
         self.stop = StopSignal(telemetry)
-        self.store_dependency = Dependency("store", telemetry, time.monotonic)
         self.settings_watch = SettingsWatch(
             core.settings,
             read_settings,
@@ -156,7 +155,7 @@
             MemberEntry(role, member_settings.zone, member.process),
             store,
             telemetry,
-            dependency=self.store_dependency,
+            dependency=Dependency("store", telemetry, time.monotonic),
             random=member.random,
             on_members=member.apply_member_list,
         )
--- a/src/cranberryhold/flows/route_table.py
+++ b/src/cranberryhold/flows/route_table.py
@@ -90,6 +90,13 @@
         """Record that the store has no newer configuration."""
         self._confirmed_at = now
 
+    def confirmation_age_s(self, now: float) -> float:
+        """Return the seconds since the configuration was known to be the newest.
+
+        Infinite if it was never confirmed.
+        """
+        return now - self._confirmed_at
+
     def record_known_version(self, version: int) -> None:
         """Record the version of a configuration that another member has."""
         self._newest_known_version = max(self._newest_known_version, version)
@@ -99,7 +106,7 @@
         return (
             self._configuration is not None
             and self.version >= self._newest_known_version
-            and now - self._confirmed_at <= CONFIRMATION_S
+            and self.confirmation_age_s(now) <= CONFIRMATION_S
         )
 
     def adopt(self, configuration: Configuration, now: float) -> bool:
