Show that a change after a silent outage is in force late

One daemon without peers, in virtual time: the store answers no call that is open during an outage, and a change follows 0.2 s after it.

--- /dev/null
+++ b/tests/test_configuration_outages.py
@@ -0,0 +1,136 @@
+"""Configurations that change around an outage of the store, in virtual time."""
+
+import asyncio
+import json
+from random import Random
+
+import pytest
+
+from cranberryhold.exceptions import StoreError
+from cranberryhold.flows.adoption import ConfigurationAdopter
+from cranberryhold.flows.configuration import ConfigurationFollower
+from cranberryhold.flows.dependency import Dependency
+from cranberryhold.flows.leased_store import ReadResult, StoredItem
+from cranberryhold.flows.route_table import RouteTable
+from cranberryhold.flows.telemetry import Telemetry
+from cranberryhold.platform.operator_configuration import OperatorConfiguration
+from cranberryhold.platform.store import CALL_TIMEOUT_S, WATCH_SLACK_S
+from tests.flow_simulation import LogLines
+from tools.virtual_time import run_virtual
+
+KEY = "op/config"
+RESPONSE_TIME_S = 0.005
+# The users allow this long for a change, and this long after an outage.
+CHANGE_LIMIT_S = 3.0
+OUTAGE_LIMIT_S = 4.0
+FIRST_CHANGE_S = 10.0
+
+
+class SilentStore:
+    """A store that never answers calls that are open during its outage.
+
+    :param outage: start and end of the outage.
+    :param changes: times at which versions 2, 3, ... are written.
+    """
+
+    def __init__(self, outage: tuple[float, float], changes: list[float]) -> None:
+        self._outage = outage
+        self._changes = changes
+        self.calls = 0
+
+    async def get(self, key: str) -> ReadResult:
+        """Return the present version."""
+        assert key == KEY
+        self.calls += 1
+        await self._respond_after(RESPONSE_TIME_S, CALL_TIMEOUT_S)
+        return self._result(since=0)
+
+    async def wait_for_change(
+        self, key: str, store_revision: int, wait_s: float
+    ) -> ReadResult:
+        """Wait for a later version than the revision."""
+        assert key == KEY
+        self.calls += 1
+        now = _now()
+        pending = [t for t in self._changes if t > now]
+        changed_at = pending[0] if pending else now + wait_s
+        if self._revision(now) > store_revision:
+            changed_at = now
+        delay_s = min(changed_at - now, wait_s) + RESPONSE_TIME_S
+        await self._respond_after(delay_s, wait_s + WATCH_SLACK_S)
+        return self._result(since=store_revision)
+
+    async def _respond_after(self, delay_s: float, timeout_s: float) -> None:
+        start, end = self._outage
+        now = _now()
+        lost = now < end and now + delay_s > start
+        await asyncio.sleep(timeout_s if lost else delay_s)
+        if lost:
+            raise StoreError("no response", step="watch")
+
+    def _revision(self, now: float) -> int:
+        return 1 + sum(change <= now for change in self._changes)
+
+    def _result(self, since: int) -> ReadResult:
+        revision = self._revision(_now())
+        document = json.dumps(
+            {
+                "version": revision,
+                "routes": [
+                    {
+                        "name": "r",
+                        "host": "198.18.0.1",
+                        "prefix": "/443/",
+                        "service": "core",
+                    }
+                ],
+            }
+        ).encode()
+        item = StoredItem(KEY, document, revision) if revision > since else None
+        return ReadResult(item, revision)
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
+
+
+async def adoption_times(
+    store: SilentStore, seed: int, until_s: float
+) -> dict[int, float]:
+    """Follow the store, and return when each version was adopted."""
+    times: dict[int, float] = {}
+    routes, telemetry = RouteTable(60.0), Telemetry("test", LogLines(), _now)
+    follower = ConfigurationFollower(
+        ConfigurationAdopter(
+            OperatorConfiguration(),
+            routes,
+            telemetry,
+            monotonic=_now,
+            on_change=lambda: times.setdefault(routes.version, _now()),
+        ),
+        store,
+        telemetry,
+        dependency=Dependency("configuration", telemetry, _now),
+        random=Random(seed),
+    )
+    task = asyncio.create_task(follower.run())
+    await asyncio.sleep(until_s)
+    task.cancel()
+    return times
+
+
+@pytest.mark.parametrize("length_s", [0.2, 1.0, 2.0, 5.0, 12.0])
+def test_a_change_after_a_silent_outage_is_in_force_in_time(length_s: float) -> None:
+    # Guards against a configuration that stays in force because the daemon still waits
+    # for the response to a watch that was lost in an outage.
+    late = []
+    for step in range(60):
+        start = FIRST_CHANGE_S + 0.05 + step * 0.1
+        end = start + length_s
+        change = end + 0.2
+        limit = max(change + CHANGE_LIMIT_S, end + OUTAGE_LIMIT_S)
+        store = SilentStore((start, end), [FIRST_CHANGE_S, change])
+        adopted = run_virtual(adoption_times(store, step, limit + 20.0))[3]
+        if adopted > limit:
+            late.append((round(start, 2), round(adopted - end, 2)))
+    assert not late
