Notice a lost watch of the configuration within the users' bounds

What callers saw: up to 2.7 s after the time that the users allow, requests on a removed route were served, and requests on an added one were not.

Cause: a store that stops answering leaves watches open that it will never answer. A watch waited 5 s, was given up 1 s later, and was followed by a delay of up to 2 s, in all longer than the 4 s that the users allow after an outage. Peers did not help: a change ends the watches of all entry daemons at the same moment, and equal waits kept them in step.

Change: a watch waits 1.25 s less than the stricter of the two bounds, which are read from the settings (3 s on the first sites, 5 and 6 s on the larger ones), at most 20% of it less at random. After a failed call the item is read without waiting, with delays of at most 1 s. A configuration counts as the newest only for the time within which a change must be in effect (before: 7 s), as resets of unknown routes depend on it.

Evidence: test_a_change_after_a_silent_outage_is_in_force_in_time failed for all five lengths of an outage (up to 6.4 s after it, 4 s allowed), and now passes for the bounds of all sites, 2.4 s at most with a bound of 3 s.

--- a/src/cranberryhold/flows/configuration.py
+++ b/src/cranberryhold/flows/configuration.py
@@ -9,7 +9,6 @@
 from cranberryhold.flows.dependency import Dependency
 from cranberryhold.flows.http_client import HttpClient
 from cranberryhold.flows.leased_store import (
-    STORE_BACKOFF_S,
     LeasedStore,
     StoredItem,
     StoreHistoryLostError,
@@ -17,23 +16,46 @@
 from cranberryhold.flows.telemetry import Telemetry
 from cranberryhold.pacing import Backoff
 
-# Short enough that a stalled watch is detected in time to apply a change within the
-# operator's bound of a few seconds.
-WATCH_WAIT_S = 5.0
+# Kept of the limit for a change that a lost response hides: the time until the loss is
+# noticed, a short delay, and the next call.
+RETRY_RESERVE_S = 1.25
+MIN_WATCH_WAIT_S = 0.25
+# Watches that a change has ended at the same time would otherwise stay in step.
+WATCH_WAIT_JITTER = 0.2
+# Longest delay in seconds after the first failed call, and after any failed call.
+BACKOFF_S = (0.15, 1.0)
 PEER_TIMEOUT_S = 2.0
 MAX_DOCUMENT_BYTES = 1 << 20
 CONFIGURATION_PATH = "/configuration"
 
 
+def watch_wait_s(limit_s: float) -> float:
+    """Return the longest wait of a watch whose lost response goes unnoticed in time.
+
+    >>> watch_wait_s(limit_s=3.0)
+    1.75
+
+    :param limit_s: seconds within which a change must be in effect, counted from the
+        end of an outage if there was one.
+    """
+    return max(MIN_WATCH_WAIT_S, limit_s - RETRY_RESERVE_S)
+
+
 class ConfigurationFollower:
     """Fetches newer versions from the store, and from peers that have them earlier.
 
+    A response can be lost without notice, so a watch is short enough for a second one
+    within the limit. After a failed call, the item is read without waiting: such a call
+    fails sooner if the store is still unavailable.
+
     :param adopter: applies documents.
     :param store: the store.
     :param telemetry: log and counters.
     :param dependency: records whether changes can be followed. It is not shared with
         other callers of the store, whose calls may succeed while a watch is lost.
     :param random: source of jitter.
+    :param limit_s: seconds within which a change must be in effect, counted from the
+        end of an outage if there was one.
     """
 
     def __init__(
@@ -44,7 +66,9 @@
         *,
         dependency: Dependency,
         random: Random,
+        limit_s: float,
     ) -> None:
+        self._watch_wait_s = watch_wait_s(limit_s)
         self._dependency = dependency
         self._adopter = adopter
         self._store = store
@@ -58,7 +82,7 @@
         :param store_revision: store revision at which the configuration was last
             read, or None if it has not been read yet.
         """
-        backoff = Backoff(*STORE_BACKOFF_S, self._random)
+        backoff = Backoff(*BACKOFF_S, self._random)
         revision = store_revision
         while True:
             try:
@@ -71,6 +95,7 @@
                 await asyncio.sleep(backoff.next_delay_s())
             except StoreError as error:
                 self._dependency.record_failure(error)
+                revision = None
                 await asyncio.sleep(backoff.next_delay_s())
             else:
                 self._dependency.record_success()
@@ -80,8 +105,11 @@
         if revision is None:
             result = await self._store.get(self._adopter.key)
         else:
+            wait_s = self._watch_wait_s * self._random.uniform(
+                1.0 - WATCH_WAIT_JITTER, 1.0
+            )
             result = await self._store.wait_for_change(
-                self._adopter.key, revision, WATCH_WAIT_S
+                self._adopter.key, revision, wait_s
             )
         if result.item is not None:
             self._adopt_item(result.item)
--- a/src/cranberryhold/flows/entry_core.py
+++ b/src/cranberryhold/flows/entry_core.py
@@ -65,7 +65,7 @@
             StatusSchedule(ENTRY_STATUS_INTERVAL_S, ENTRY_MAX_ROUNDS),
             self._status,
         )
-        self._routes = RouteTable(settings.max_flow_s)
+        self._routes = RouteTable(settings.max_flow_s, settings.configuration_limit_s)
         self._link = LinkLoad(settings.link_bytes_s)
         self._datapath = EntryDatapath(
             self._member.ip,
--- a/src/cranberryhold/flows/route_table.py
+++ b/src/cranberryhold/flows/route_table.py
@@ -58,18 +58,18 @@
     former_services: dict[bytes, float] = {}
 
 
-# A watch of the store is answered at least this often while it can be reached.
-CONFIRMATION_S = 7.0
-
-
 class RouteTable:
     """The routes of the newest configuration, with recently removed services.
 
     :param flow_lifetime_s: seconds for which a service that was removed from a route
         is still searched for the route's open flows.
+    :param confirmation_s: seconds for which the configuration counts as the newest
+        after the store has confirmed it; at most the time in which a change must be in
+        effect.
     """
 
-    def __init__(self, flow_lifetime_s: float) -> None:
+    def __init__(self, flow_lifetime_s: float, confirmation_s: float) -> None:
+        self._confirmation_s = confirmation_s
         self._flow_lifetime_s = flow_lifetime_s
         self._entries: dict[tuple[bytes, int], _RouteEntry] = {}
         self._configuration: Configuration | None = None
@@ -106,7 +106,7 @@
         return (
             self._configuration is not None
             and self.version >= self._newest_known_version
-            and self.confirmation_age_s(now) <= CONFIRMATION_S
+            and self.confirmation_age_s(now) <= self._confirmation_s
         )
 
     def adopt(self, configuration: Configuration, now: float) -> bool:
--- a/src/cranberryhold/flows/settings.py
+++ b/src/cranberryhold/flows/settings.py
@@ -13,6 +13,7 @@
     "metrics_",
     "status_",
     "link_",
+    "configuration_",
 )
 """Prefixes of the names of member settings that take effect only after a restart."""
 
@@ -33,6 +34,10 @@
     :param stop_limit_s: seconds after which the platform kills a process that was
         told to stop.
     :param max_flow_s: age in seconds after which the state of a flow may be removed.
+    :param configuration_change_s: seconds within which a changed configuration must be
+        in effect.
+    :param configuration_recovery_s: seconds after an outage of the store within which
+        changes must be in effect again.
     :param status_address: where an entry instance receives regular statuses over UDP,
         None for ``peer_address``.
     :param link_bytes_s: capacity of the instance's link in bytes per second in each
@@ -49,9 +54,16 @@
     seeds: tuple[Address, ...]
     stop_limit_s: float
     max_flow_s: float
+    configuration_change_s: float = 3.0
+    configuration_recovery_s: float = 4.0
     status_address: Address | None = None
     link_bytes_s: float | None = None
 
+    @property
+    def configuration_limit_s(self) -> float:
+        """Seconds within which a change must be noticed, also after an outage."""
+        return min(self.configuration_change_s, self.configuration_recovery_s)
+
 
 class FlowSidecarSettings(Struct, frozen=True):
     """Settings of the sidecar of a target.
--- a/src/cranberryhold/platform/settings.py
+++ b/src/cranberryhold/platform/settings.py
@@ -19,6 +19,9 @@
     grace_period_s: float
     max_flow_s: float
     reuse_after_s: float
+    config_apply_ms: float = 3000.0
+    # Time after the end of a disturbance from which the bounds apply again.
+    stable_window_ms: float = 4000.0
 
 
 class _Platform(msgspec.Struct, rename="camel"):
@@ -78,6 +81,8 @@
         seeds=tuple(_address(seed, "seedAddrs") for seed in settings.seed_addrs),
         stop_limit_s=settings.bounds.grace_period_s,
         max_flow_s=settings.bounds.max_flow_s,
+        configuration_change_s=settings.bounds.config_apply_ms / 1000,
+        configuration_recovery_s=settings.bounds.stable_window_ms / 1000,
         status_address=_status_address(settings),
         link_bytes_s=_link_bytes_s(settings),
     )
--- a/src/cranberryhold/platform/store.py
+++ b/src/cranberryhold/platform/store.py
@@ -20,7 +20,7 @@
 # Several times the response time of the store when it is slow.
 CALL_TIMEOUT_S = 1.5
 # A watch may be answered this much later than its wait time.
-WATCH_SLACK_S = 1.0
+WATCH_SLACK_S = 0.75
 _WATCH_PATH = "/kv-watch"
 _TRANSACTION_PATH = "/kv-txn"
 _LEASE_PATH = "/kv-lease"
--- a/tests/flow_simulation.py
+++ b/tests/flow_simulation.py
@@ -38,6 +38,8 @@
 OTHER_SERVICE = "other"
 SERVICE_IP = inet_aton("198.18.0.1")
 SERVICE_PORT = 443
+# Time within which a changed configuration must be in effect.
+CONFIRMATION_S = 3.0
 MAX_FLOW_S = 60.0
 STATUS_INTERVAL_MS = 250
 
@@ -203,7 +205,7 @@
         return Telemetry(name, self.lines, self.clock)
 
     def start_entry(self, ip, zone="a", configured=True):
-        routes = RouteTable(MAX_FLOW_S)
+        routes = RouteTable(MAX_FLOW_S, CONFIRMATION_S)
         if configured:
             routes.adopt(configuration(), self.clock())
         peers = Peers(ip, zone, self.clock)
--- a/tests/test_configuration_outages.py
+++ b/tests/test_configuration_outages.py
@@ -20,9 +20,8 @@
 
 KEY = "op/config"
 RESPONSE_TIME_S = 0.005
-# The users allow this long for a change, and this long after an outage.
-CHANGE_LIMIT_S = 3.0
-OUTAGE_LIMIT_S = 4.0
+# Seconds that the users' sites allow for a change, and after an outage.
+LIMITS_S = [(3.0, 4.0), (5.0, 5.0), (6.0, 6.0)]
 FIRST_CHANGE_S = 10.0
 
 
@@ -95,11 +94,11 @@
 
 
 async def adoption_times(
-    store: SilentStore, seed: int, until_s: float
+    store: SilentStore, seed: int, *, limit_s: float, until_s: float
 ) -> dict[int, float]:
     """Follow the store, and return when each version was adopted."""
     times: dict[int, float] = {}
-    routes, telemetry = RouteTable(60.0), Telemetry("test", LogLines(), _now)
+    routes, telemetry = RouteTable(60.0, limit_s), Telemetry("test", LogLines(), _now)
     follower = ConfigurationFollower(
         ConfigurationAdopter(
             OperatorConfiguration(),
@@ -112,6 +111,7 @@
         telemetry,
         dependency=Dependency("configuration", telemetry, _now),
         random=Random(seed),
+        limit_s=limit_s,
     )
     task = asyncio.create_task(follower.run())
     await asyncio.sleep(until_s)
@@ -120,7 +120,10 @@
 
 
 @pytest.mark.parametrize("length_s", [0.2, 1.0, 2.0, 5.0, 12.0])
-def test_a_change_after_a_silent_outage_is_in_force_in_time(length_s: float) -> None:
+@pytest.mark.parametrize(("change_limit_s", "outage_limit_s"), LIMITS_S)
+def test_a_change_after_a_silent_outage_is_in_force_in_time(
+    change_limit_s: float, outage_limit_s: float, length_s: float
+) -> None:
     # Guards against a configuration that stays in force because the daemon still waits
     # for the response to a watch that was lost in an outage.
     late = []
@@ -128,9 +131,15 @@
         start = FIRST_CHANGE_S + 0.05 + step * 0.1
         end = start + length_s
         change = end + 0.2
-        limit = max(change + CHANGE_LIMIT_S, end + OUTAGE_LIMIT_S)
+        limit = max(change + change_limit_s, end + outage_limit_s)
         store = SilentStore((start, end), [FIRST_CHANGE_S, change])
-        adopted = run_virtual(adoption_times(store, step, limit + 20.0))[3]
+        times = adoption_times(
+            store,
+            step,
+            limit_s=min(change_limit_s, outage_limit_s),
+            until_s=limit + 20.0,
+        )
+        adopted = run_virtual(times)[3]
         if adopted > limit:
             late.append((round(start, 2), round(adopted - end, 2)))
     assert not late
--- a/tests/test_flow_paths.py
+++ b/tests/test_flow_paths.py
@@ -10,10 +10,10 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from cranberryhold.flows.route_table import CONFIRMATION_S
 from cranberryhold.flows.target_state import TargetPhase
 from tests.flow_simulation import (
     ACK,
+    CONFIRMATION_S,
     FIN,
     OTHER_SERVICE,
     RST,
--- a/tests/test_flow_state.py
+++ b/tests/test_flow_state.py
@@ -357,14 +357,14 @@
 
 class TestRoutes:
     def test_only_newer_versions_are_adopted(self):
-        routes = RouteTable(60.0)
+        routes = RouteTable(60.0, 3.0)
         assert routes.adopt(configuration(version=5), 0.0)
         assert not routes.adopt(configuration(version=4), 0.0)
         assert not routes.adopt(configuration(version=5), 0.0)
         assert routes.version == 5
 
     def test_new_flows_are_distributed_by_weight(self):
-        routes = RouteTable(60.0)
+        routes = RouteTable(60.0, 3.0)
         routes.adopt(configuration(services=(("core", 90), ("other", 10))), 0.0)
         ip, port = inet_aton("198.18.0.1"), 443
         chosen = [routes.service_for_new_flow(ip, port, key(n)) for n in range(2000)]
@@ -372,7 +372,7 @@
         assert chosen.count(CORE) + chosen.count(OTHER) == 2000
 
     def test_former_services_are_kept_for_the_lifetime_of_a_flow(self):
-        routes = RouteTable(60.0)
+        routes = RouteTable(60.0, 3.0)
         ip, port = inet_aton("198.18.0.1"), 443
         routes.adopt(configuration(version=1), 0.0)
         routes.adopt(configuration(version=2, services=(("other", 1),)), 10.0)
--- a/tests/test_flow_store.py
+++ b/tests/test_flow_store.py
@@ -64,9 +64,9 @@
 
 @pytest.fixture(autouse=True)
 def _short_timeouts(monkeypatch):
-    for module in (announcement, configuration):
-        monkeypatch.setattr(module, "STORE_BACKOFF_S", (0.01, 0.05))
-    monkeypatch.setattr(configuration, "WATCH_WAIT_S", 0.2)
+    monkeypatch.setattr(announcement, "STORE_BACKOFF_S", (0.01, 0.05))
+    monkeypatch.setattr(configuration, "BACKOFF_S", (0.01, 0.05))
+    monkeypatch.setattr(configuration, "RETRY_RESERVE_S", 2.8)
     monkeypatch.setattr(platform_store, "CALL_TIMEOUT_S", 0.2)
 
 
@@ -148,7 +148,7 @@
 class TestConfigurationFollower:
     @asynccontextmanager
     async def following(self, store, on_change=lambda: None):
-        routes, telemetry = RouteTable(60.0), create_telemetry()
+        routes, telemetry = RouteTable(60.0, 3.0), create_telemetry()
         adopter = ConfigurationAdopter(
             OperatorConfiguration(),
             routes,
@@ -162,6 +162,7 @@
             telemetry,
             dependency=Dependency("store", telemetry, lambda: 0.0),
             random=Random(1),
+            limit_s=3.0,
         )
         task = asyncio.create_task(follower.run())
         try:
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -102,6 +102,14 @@
         assert sidecar.member.store == Address("10.200.1.7", 8169)
         assert sidecar.member.seeds == (Address("10.1.0.10", 8166),)
 
+    def test_the_stricter_bound_limits_the_time_to_a_changed_configuration(
+        self, tmp_path
+    ):
+        bounds = {**SETTINGS["bounds"], "configApplyMs": 6000, "stableWindowMs": 5000}
+        member = member_settings(self.read(tmp_path, bounds=bounds))
+        assert member.configuration_change_s == 6.0
+        assert member.configuration_limit_s == 5.0
+
     @pytest.mark.parametrize(
         ("changes", "named"),
         [
