Notice lost connections to the key-value service within 3 s

After the machine of the service lost power, no reset ends the watches, and an accepted manifest was not in force for up to 65 s, where 3 s are promised.

The client's sockets now send keepalive probes: idle for 1 s, then two probes a second apart. Shorter watches were ruled out here: the number of calls is bounded (test_unreadable_value_is_refused_without_a_busy_loop, docs/CAPACITY.md). A service that keeps its connections but answers none of the waiting watches is still noticed after 65 s; docs/limits.md says so.

The test fails without the change: SO_KEEPALIVE is not set.

--- a/src/cranberryhold/consul.py
+++ b/src/cranberryhold/consul.py
@@ -3,18 +3,21 @@
 import asyncio
 import base64
 import json
+import socket
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass
 from urllib.parse import quote
 
 from aiohttp import (
+    AddrInfoType,
     ClientConnectorError,
     ClientError,
     ClientSession,
     ClientTimeout,
     ConnectionTimeoutError,
     InvalidURL,
+    TCPConnector,
 )
 
 from cranberryhold.client_middleware import send_once
@@ -28,6 +31,11 @@
 # Delay before a watch is repeated: a watch on a key that does not exist also returns
 # when other keys are written.
 WATCH_RETRY_DELAY_S = 1.0
+# A connection that was lost without a reset, such as to a machine that lost power,
+# fails after three seconds. A watch would otherwise hide changes for a minute.
+KEEPALIVE_IDLE_S = 1
+KEEPALIVE_INTERVAL_S = 1
+KEEPALIVE_PROBES = 2
 LEASE_PREFIX = "cranberryhold/leases/"
 
 
@@ -41,6 +49,21 @@
         return json.loads(self.body)
 
 
+def _create_socket(address: AddrInfoType) -> socket.socket:
+    """Create a socket that notices a lost connection by itself."""
+    family, kind, protocol, _, _ = address
+    created = socket.socket(family, kind, protocol)
+    options = (
+        (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
+    )
+    for level, name, value in options:
+        created.setsockopt(level, name, value)
+    return created
+
+
 class ConsulStore:
     """A :class:`~cranberryhold.store.Store` that is backed by Consul's API.
 
@@ -66,7 +89,10 @@
         cls, url: str, call_timeout_s: float = CALL_TIMEOUT_S
     ) -> AsyncIterator["ConsulStore"]:
         """Yield a store with its own client session."""
-        async with ClientSession(middlewares=(send_once,)) as session:
+        connector = TCPConnector(socket_factory=_create_socket)
+        async with ClientSession(
+            connector=connector, middlewares=(send_once,)
+        ) as session:
             yield cls(url, session, call_timeout_s)
 
     @property
--- a/tests/test_consul.py
+++ b/tests/test_consul.py
@@ -5,10 +5,12 @@
 """
 
 import asyncio
+import socket
 from collections.abc import AsyncIterator
 
 import pytest
 
+from cranberryhold import consul
 from cranberryhold.addresses import Address
 from cranberryhold.consul import LEASE_PREFIX, ConsulStore
 from cranberryhold.exceptions import StoreError, StoreOutcomeUnknownError
@@ -34,6 +36,37 @@
         yield store
 
 
+async def test_a_watch_over_a_lost_connection_fails_soon(
+    key_values: KeyValues, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Guards against a manifest that is not in force for a minute after the machine of
+    # the service lost power: no reset arrives, and the watches wait on.
+    sockets: list[socket.socket] = []
+    create = consul._create_socket
+
+    def record(address) -> socket.socket:
+        sockets.append(create(address))
+        return sockets[-1]
+
+    monkeypatch.setattr(consul, "_create_socket", record)
+    async with (
+        KeyValueServer(key_values).serve(ANY_PORT) as address,
+        ConsulStore.open(f"http://{address}") as store,
+    ):
+        await store.get(KEY)
+        (connection,) = sockets
+        assert connection.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE)
+        idle_s, interval_s, probes = (
+            connection.getsockopt(socket.IPPROTO_TCP, option)
+            for option in (
+                socket.TCP_KEEPIDLE,
+                socket.TCP_KEEPINTVL,
+                socket.TCP_KEEPCNT,
+            )
+        )
+        assert idle_s + interval_s * probes <= 3
+
+
 async def read(store: ConsulStore) -> VersionedValue:
     current = await store.get(KEY)
     assert current
