--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -171,6 +171,18 @@
         await cluster.until(lambda: in_force(cluster, 1), 60)
 
 
+@virtual
+async def test_change_after_a_silent_outage_is_in_force_within_the_limit() -> None:
+    # Guards against readers that still wait for answers which the outage has lost.
+    store = MemoryStore()
+    async with running_cluster(15) as cluster:
+        await cluster.start_all(12, store=store)
+        await put_in_force(cluster, store, accepted_manifest(1))
+        async with store.silence():
+            await cluster.clock.sleep(5)
+        await put_in_force(cluster, store, accepted_manifest(2))
+
+
 @virtual
 async def test_slow_store_delays_a_change_only_by_its_own_latency() -> None:
     store = MemoryStore()
--- a/tools/clusters.py
+++ b/tools/clusters.py
@@ -69,6 +69,18 @@
         self.delay_s = 0.005
         self.calls = 0
         self._changed = asyncio.Event()
+        self._silent = False
+        self._silences = 0
+
+    @asynccontextmanager
+    async def silence(self) -> AsyncIterator[None]:
+        """Never answer the calls that are open inside the context."""
+        self._silent = True
+        self._silences += 1
+        try:
+            yield
+        finally:
+            self._silent = False
 
     def put(self, accepted: AcceptedManifest) -> None:
         """Write a manifest, like an operator's ``apply`` or a restored backup."""
@@ -87,15 +99,21 @@
         """Wait until the revision differs."""
         self.calls += 1
         assert key == MANIFEST_KEY
+        silences, silent = self._silences, self._silent
         await asyncio.sleep(self.delay_s)
         if self.down:
             raise StoreError("connection refused", step="watch")
+        timed_out = False
         if self.value is None or self.value.revision == after_revision:
             try:
                 async with asyncio.timeout(timeout_s):
                     await self._changed.wait()
             except TimeoutError:
-                return None
+                timed_out = True
+        if silent or self._silences > silences:
+            await asyncio.Event().wait()
+        if timed_out:
+            return None
         if self.down:
             raise StoreError("connection reset", step="watch")
         return self.value
