Do not take a list without running members as complete

What callers saw: a reset of an open flow whose target ran on.

Cause: an entry daemon that restarts may reset flows once it has read the store's list of members and heard from all of them.

Change: the list counts only if it contains every member that has sent a status; otherwise all members have reported after 5 s, as without a list.

test_a_list_without_a_running_member_does_not_make_a_search_complete fails without the change. Class: absence from a registry of leases is no proof of absence.

--- a/src/cranberryhold/flows/entry_core.py
+++ b/src/cranberryhold/flows/entry_core.py
@@ -139,7 +139,10 @@
 
     def apply_initial_state(self, state: BootstrapState) -> None:
         """Apply the first state that was read from the store."""
-        self._member.apply_member_list(decode_members(state.members, self._telemetry))
+        self._member.apply_member_list(
+            decode_members(state.members, self._telemetry),
+            complete=state.has_all_members,
+        )
         if state.configuration is not None:
             item = state.configuration
             self._adopter.adopt(item.value, source="store", revision=item.revision)
--- a/src/cranberryhold/flows/leased_store.py
+++ b/src/cranberryhold/flows/leased_store.py
@@ -47,11 +47,13 @@
     :param configuration: the operator's configuration, or None if there is none.
     :param store_revision: revision from which to wait for later configurations.
     :param members: entries of the members.
+    :param has_all_members: whether no entries are left out.
     """
 
     configuration: StoredItem | None
     store_revision: int
     members: list[StoredItem]
+    has_all_members: bool = True
 
 
 class WriteResult(Struct, frozen=True):
--- a/src/cranberryhold/flows/member.py
+++ b/src/cranberryhold/flows/member.py
@@ -142,10 +142,16 @@
         for ip in self._peers.remove_expired():
             self._telemetry.event("peer-forgotten", peer=inet_ntoa(ip))
 
-    def apply_member_list(self, members: ListedMembers) -> None:
-        """Update the peers from the members registered in the store."""
+    def apply_member_list(
+        self, members: ListedMembers, *, complete: bool = True
+    ) -> None:
+        """Update the peers from the members registered in the store.
+
+        :param complete: whether these are all members that are registered.
+        """
         self._add_discovered(members.entries, members.sidecars, "store")
-        self._peers.mark_list_read()
+        if complete:
+            self._peers.record_registered((*members.entries, *members.sidecars))
 
     def _add_discovered(
         self, entries: Iterable[bytes], sidecars: Iterable[bytes], source: str
--- a/src/cranberryhold/flows/peers.py
+++ b/src/cranberryhold/flows/peers.py
@@ -34,7 +34,7 @@
 HOLDER_TIMEOUT_S = 15.0
 # The same for a sidecar that had not received a heartbeat of its target.
 UNKNOWN_TARGET_TIMEOUT_S = 4.0
-# A process that can't read the store's list of members has heard from all by then.
+# A process that can't rely on the store's list of members has heard from all by then.
 MEMBER_DISCOVERY_S = 5.0
 # A target in another zone is preferred only if its load is lower by this factor.
 REMOTE_COST_FACTOR = 1.3
@@ -146,7 +146,8 @@
         self._started_at = monotonic()
         # Time at which this process resumed after a pause.
         self._resumed_at = -inf
-        self._list_read = False
+        # Members in the complete lists that the store returned, None before the first.
+        self._registered: set[bytes] | None = None
         self._entries: dict[bytes, EntryPeer] = {}
         # Entry instances of the local zone that announced their end, with the time.
         self._departed: dict[bytes, float] = {}
@@ -193,9 +194,9 @@
         """Return the addresses of the sidecars to send statuses to."""
         return [*self._sidecars, *self._listed_sidecars]
 
-    def mark_list_read(self) -> None:
-        """Record that the store's complete list of members was read."""
-        self._list_read = True
+    def record_registered(self, ips: Iterable[bytes]) -> None:
+        """Record a complete list of the members that are registered in the store."""
+        self._registered = {*(self._registered or ()), *ips}
 
     def add_listed(
         self, entries: Iterable[bytes], sidecars: Iterable[bytes]
@@ -378,7 +379,17 @@
         )
 
     def _knows_all_members(self, now: float) -> bool:
-        return self._list_read or now - self._started_at > MEMBER_DISCOVERY_S
+        """Whether every running member is known.
+
+        The list of the store lacks members whose leases have expired, such as in an
+        outage, until they register again. It is trusted only if it contains all members
+        that have sent a status.
+        """
+        if now - self._started_at > MEMBER_DISCOVERY_S:
+            return True
+        return self._registered is not None and self._registered.issuperset(
+            (*self._entries, *self._sidecars)
+        )
 
     def _longest_silence_s(self) -> float:
         """Return the seconds within which every running sidecar sends a status."""
--- a/src/cranberryhold/platform/bootstrap.py
+++ b/src/cranberryhold/platform/bootstrap.py
@@ -52,6 +52,7 @@
         next(iter(items), None),
         configurations.store_revision,
         [item.to_stored_item() for item in members.items],
+        has_all_members=not members.truncated,
     )
 
 
--- a/tests/flow_simulation.py
+++ b/tests/flow_simulation.py
@@ -262,7 +262,7 @@
             for ip, datapath in self.sidecars.items():
                 if ip not in self.unreachable:
                     peers.update_sidecar(ip, self.status(ip, datapath))
-            peers.mark_list_read()
+            peers.record_registered(self.sidecars)
 
     def status(self, ip, datapath):
         state = self.states[ip]
--- a/tests/test_flow_daemons.py
+++ b/tests/test_flow_daemons.py
@@ -28,6 +28,7 @@
 from cranberryhold.flows.udp import open_udp
 from cranberryhold.platform.bootstrap import read_bootstrap_state
 from cranberryhold.platform.store import PlatformStore
+from emulator.metadata_store import PAGE_ITEMS
 from tests.flow_simulation import ACK, SYN, LogLines
 from tests.flow_site import CONFIGURATION, machine_ip, running_site
 from tests.waiting import until
@@ -227,6 +228,14 @@
             )
             assert bootstrap.configuration.value == CONFIGURATION
             assert len(bootstrap.members) == 1
+            assert bootstrap.has_all_members
+            for number in range(PAGE_ITEMS):
+                key = f"cranberryhold/members/10.1.{number // 200}.{number % 200}"
+                await site.store.put(key, b"{}")
+            bootstrap = await asyncio.to_thread(
+                read_bootstrap_state, *arguments, errors.append
+            )
+            assert not bootstrap.has_all_members
             site.store.error_status = 503
             assert (
                 await asyncio.to_thread(read_bootstrap_state, *arguments, errors.append)
--- a/tests/test_flow_peers.py
+++ b/tests/test_flow_peers.py
@@ -15,6 +15,7 @@
 from cranberryhold.flows.peers import (
     HOLDER_TIMEOUT_S,
     MAX_NEW_FLOW_CANDIDATES,
+    MEMBER_DISCOVERY_S,
     PEER_EXPIRY_S,
     UNKNOWN_TARGET_TIMEOUT_S,
     Peers,
@@ -110,7 +111,7 @@
         # instance that resumed found no holder among the sidecars it knew, and caused a
         # reset of an open flow.
         peers, clock = self.peers()
-        peers.mark_list_read()
+        peers.record_registered(map(self.ip, range(9)))
         statuses = self.sidecar(), self.sidecar(service=NO_TARGET)
         for number, status in enumerate(statuses):
             peers.update_sidecar(self.ip(number), status)
@@ -162,7 +163,7 @@
 
     def test_a_sidecar_that_left_with_flows_is_expected_to_restart(self):
         peers, _ = self.peers()
-        peers.mark_list_read()
+        peers.record_registered(map(self.ip, range(9)))
         peers.update_sidecar(self.ip(1), self.sidecar())
         peers.update_sidecar(self.ip(2), self.sidecar())
         assert peers.search_is_complete([CORE], 2)
@@ -176,7 +177,7 @@
 
     def test_a_sidecar_that_left_without_flows_is_removed(self):
         peers, _ = self.peers()
-        peers.mark_list_read()
+        peers.record_registered(map(self.ip, range(9)))
         peers.update_sidecar(self.ip(1), self.sidecar())
         peers.update_sidecar(self.ip(2), self.sidecar())
         peers.record_departure(self.ip(1), Leaving(1, 0))
@@ -185,7 +186,7 @@
 
     def test_a_silent_sidecar_counts_as_holder_for_a_bounded_time(self):
         peers, clock = self.peers()
-        peers.mark_list_read()
+        peers.record_registered(map(self.ip, range(9)))
         peers.update_sidecar(self.ip(1), self.sidecar())
         clock.now += HOLDER_TIMEOUT_S + 1
         peers.update_sidecar(self.ip(2), self.sidecar())
@@ -195,7 +196,7 @@
         # Its new process had not heard from its target yet when it fell silent; the
         # target still holds the flows that the earlier process reported.
         peers, clock = self.peers()
-        peers.mark_list_read()
+        peers.record_registered(map(self.ip, range(9)))
         peers.update_sidecar(self.ip(1), self.sidecar(flows=3))
         unknown = self.sidecar(process=2, service=UNKNOWN_SERVICE, accepts=False)
         peers.update_sidecar(self.ip(1), unknown)
@@ -231,7 +232,7 @@
 
     def test_a_listed_member_is_waited_for_only_once(self):
         peers, clock = self.peers()
-        peers.mark_list_read()
+        peers.record_registered(map(self.ip, range(9)))
         peers.update_sidecar(self.ip(2), self.sidecar())
         assert peers.add_listed((), [self.ip(1)]) == [self.ip(1)]
         assert not peers.search_is_complete([CORE], 1)
@@ -240,6 +241,20 @@
         peers.update_sidecar(self.ip(2), self.sidecar())
         assert peers.search_is_complete([CORE], 1)
 
+    def test_a_list_without_a_running_member_does_not_make_a_search_complete(self):
+        # Guards against the reset of an open flow by an entry instance that restarted
+        # after the leases of running sidecars had expired in an outage of the store.
+        peers, clock = self.peers()
+        peers.record_registered([self.ip(1)])
+        peers.update_sidecar(self.ip(1), self.sidecar())
+        assert peers.search_is_complete([CORE], 1)
+        peers.update_sidecar(self.ip(2), self.sidecar())
+        assert not peers.search_is_complete([CORE], 2)
+        clock.now += MEMBER_DISCOVERY_S + 0.1
+        for number in (1, 2, 3):
+            peers.update_sidecar(self.ip(number), self.sidecar())
+        assert peers.search_is_complete([CORE], 3)
+
     def test_a_member_with_rare_statuses_is_not_removed_between_them(self):
         peers, clock = self.peers()
         status = EntryStatus(1, "b", 1, True, interval_ms=60_000)
