Draw the ports of tests outside the kernel's range

The instance closes it at once; the port came from the kernel's range, and a socket that is bound to all addresses, such as that of a status query in another test process, can be given any such port in between.

--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -3,10 +3,11 @@
 import asyncio
 import os
 import socket
-from contextlib import ExitStack
+from contextlib import ExitStack, suppress
 from ipaddress import IPv4Address
 
 from cranberryhold.addresses import Address
+from tools.ports import candidate_ports
 
 # A loopback address per test process, so that parallel runs never share a port.
 LOOPBACK_IP = str(IPv4Address("127.64.0.0") + os.getpid())
@@ -39,11 +40,17 @@
 
 def free_port() -> int:
     """Return a UDP port of LOOPBACK_IP that is currently free."""
-    with UdpSocket() as udp_socket:
-        return udp_socket.address.port
+    return free_ports(1)[0]
 
 
 def free_ports(count: int) -> list[int]:
     """Return distinct UDP ports of LOOPBACK_IP that are currently free."""
+    ports: list[int] = []
     with ExitStack() as stack:
-        return [stack.enter_context(UdpSocket()).address.port for _ in range(count)]
+        for port in candidate_ports():
+            if len(ports) == count:
+                break
+            with suppress(OSError):
+                stack.enter_context(UdpSocket(LOOPBACK_IP, port))
+                ports.append(port)
+    return ports
--- a/tools/processes.py
+++ b/tools/processes.py
@@ -10,6 +10,7 @@
 from contextlib import asynccontextmanager, suppress
 
 from cranberryhold.addresses import Address
+from tools.ports import candidate_ports
 
 LOOPBACK = "127.0.0.1"
 _POLL_INTERVAL_S = 0.02
@@ -167,13 +168,14 @@
     sockets: list[socket.socket] = []
     addresses: list[Address] = []
     try:
-        while len(addresses) < count:
+        for port in candidate_ports():
+            if len(addresses) == count:
+                break
             datagram = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
             stream = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
             sockets += [datagram, stream]
-            datagram.bind((ip, 0))
-            port = datagram.getsockname()[1]
             with suppress(OSError):
+                datagram.bind((ip, port))
                 stream.bind((ip, port))
                 addresses.append(Address(ip, port))
     finally:
