--- a/tools/capacity_parts/events.py
+++ b/tools/capacity_parts/events.py
@@ -2,7 +2,10 @@
 
 from math import ceil, log
 
-from cranberryhold.distribution import ANNOUNCE_FANOUT, MAX_INLINE_DELTA_BYTES
+from cranberryhold.distribution.distributor import (
+    ANNOUNCE_FANOUT,
+    MAX_INLINE_DELTA_BYTES,
+)
 from cranberryhold.membership import RETENTION_S
 from tools.capacity_parts.markdown import fmt, plain_table
 from tools.capacity_parts.model import UPDATES_PER_FAILURE, UPDATES_PER_RESTART, Model
--- a/tools/capacity_parts/model.py
+++ b/tools/capacity_parts/model.py
@@ -2,9 +2,9 @@
 
 from dataclasses import dataclass
 
-from cranberryhold.distribution import (
+from cranberryhold.distribution.distributor import MAX_INLINE_DELTA_BYTES
+from cranberryhold.distribution.reader import (
     BACKOFF_S,
-    MAX_INLINE_DELTA_BYTES,
     READERS_PER_ZONE,
     WATCH_TIMEOUT_S,
 )
--- a/tools/clusters.py
+++ b/tools/clusters.py
@@ -12,14 +12,18 @@
 from cranberryhold.background_tasks import running_tasks
 from cranberryhold.clock import SystemClock
 from cranberryhold.distribution import (
-    MANIFEST_KEY,
     ManifestDistributor,
     ManifestReader,
     ManifestState,
 )
 from cranberryhold.exceptions import StoreError
 from cranberryhold.links import MemoryLink, MemoryNetwork
-from cranberryhold.manifest import AcceptedManifest, Manifest, Service
+from cranberryhold.manifest import (
+    MANIFEST_KEY,
+    AcceptedManifest,
+    Manifest,
+    Service,
+)
 from cranberryhold.members import Member, MemberTable, Role
 from cranberryhold.membership import Membership
 from cranberryhold.messages import ManifestRequest, RecordsRequest
