Count a configuration as the newest from when the store was read

What callers could see: a reset on a route that had been added more than the users' bound (3 s on the first sites) before, if the response that last confirmed the older version had been under way for long and the next one was lost.

Cause: an entry daemon dated a confirmation by the arrival of the response. The response shows the store as it was when it answered, which may be long before on a slow store, a slow link or a paused daemon. Class: staleness measured from the wrong end of a call; a lease is counted from its request for this reason.

Change: a confirmation counts from the request. A watch that has waited its whole time without a change shows the state at the end of that time. The first read of a starting daemon is dated in the same way.

Ruled out as a way: dating events by their arrival, as their delay is as unknown.

--- a/src/cranberryhold/flows/adoption.py
+++ b/src/cranberryhold/flows/adoption.py
@@ -57,9 +57,12 @@
         """Version in effect, 0 before the first."""
         return self._routes.version
 
-    def confirm(self) -> None:
-        """Record that the store has no newer configuration than the one in effect."""
-        self._routes.confirm(self._monotonic())
+    def confirm(self, as_of: float) -> None:
+        """Record that the store had no newer configuration than the one in effect.
+
+        :param as_of: monotonic time in seconds at which it had none.
+        """
+        self._routes.confirm(as_of)
 
     def adopt(self, document: bytes, **origin: object) -> None:
         """Put a document into effect if it holds a newer version.
--- a/src/cranberryhold/flows/configuration.py
+++ b/src/cranberryhold/flows/configuration.py
@@ -1,6 +1,7 @@
 """Keeps the operator's configuration on an entry instance up to date."""
 
 import asyncio
+from collections.abc import Callable
 from random import Random
 
 from cranberryhold.addresses import Address
@@ -54,6 +55,7 @@
     :param dependency: records whether changes can be followed. It is not shared with
         other callers of the store, whose calls may succeed while a watch is lost.
     :param random: source of jitter.
+    :param monotonic: clock in seconds, that of the adopter.
     :param limit_s: seconds within which a change must be in effect, counted from the
         end of an outage if there was one.
     """
@@ -66,6 +68,7 @@
         *,
         dependency: Dependency,
         random: Random,
+        monotonic: Callable[[], float],
         limit_s: float,
     ) -> None:
         self._watch_wait_s = watch_wait_s(limit_s)
@@ -74,6 +77,7 @@
         self._store = store
         self._telemetry = telemetry
         self._random = random
+        self._monotonic = monotonic
         self._fetching = False
 
     async def run(self, store_revision: int | None = None) -> None:
@@ -102,6 +106,8 @@
                 backoff.reset()
 
     async def _read_or_wait(self, revision: int | None) -> int:
+        # The response shows a state that is at least as recent as the request.
+        as_of = self._monotonic()
         if revision is None:
             result = await self._store.get(self._adopter.key)
         else:
@@ -111,9 +117,12 @@
             result = await self._store.wait_for_change(
                 self._adopter.key, revision, wait_s
             )
+            waited_s = self._monotonic() - as_of
+            if result.item is None and waited_s >= wait_s:
+                as_of += wait_s
         if result.item is not None:
             self._adopt_item(result.item)
-        self._adopter.confirm()
+        self._adopter.confirm(as_of)
         return result.store_revision
 
     def _adopt_item(self, item: StoredItem) -> None:
--- a/src/cranberryhold/flows/entry_core.py
+++ b/src/cranberryhold/flows/entry_core.py
@@ -146,7 +146,7 @@
         if state.configuration is not None:
             item = state.configuration
             self._adopter.adopt(item.value, source="store", revision=item.revision)
-        self._adopter.confirm()
+        self._adopter.confirm(state.read_at)
 
     def apply_settings(self, settings: MemberSettings) -> None:
         """Apply changed settings, except the addresses of open sockets."""
--- a/src/cranberryhold/flows/entry_daemon.py
+++ b/src/cranberryhold/flows/entry_daemon.py
@@ -70,6 +70,7 @@
             self._telemetry,
             dependency=Dependency("configuration", self._telemetry, time.monotonic),
             random=self._member.random,
+            monotonic=time.monotonic,
             limit_s=core.settings.configuration_limit_s,
         )
         self._fetches: set[asyncio.Task[None]] = set()
--- a/src/cranberryhold/flows/leased_store.py
+++ b/src/cranberryhold/flows/leased_store.py
@@ -47,12 +47,14 @@
     :param configuration: the operator's configuration, or None if there is none.
     :param store_revision: revision from which to wait for later configurations.
     :param members: entries of the members.
+    :param read_at: monotonic time in seconds before the first call.
     :param has_all_members: whether no entries are left out.
     """
 
     configuration: StoredItem | None
     store_revision: int
     members: list[StoredItem]
+    read_at: float
     has_all_members: bool = True
 
 
--- a/src/cranberryhold/flows/route_table.py
+++ b/src/cranberryhold/flows/route_table.py
@@ -86,9 +86,12 @@
         """Version of the newest configuration, 0 before the first."""
         return self._configuration.version if self._configuration else 0
 
-    def confirm(self, now: float) -> None:
-        """Record that the store has no newer configuration."""
-        self._confirmed_at = now
+    def confirm(self, as_of: float) -> None:
+        """Record that the store had no newer configuration.
+
+        :param as_of: monotonic time in seconds at which it had none.
+        """
+        self._confirmed_at = as_of
 
     def confirmation_age_s(self, now: float) -> float:
         """Return the seconds since the configuration was known to be the newest.
--- a/src/cranberryhold/platform/bootstrap.py
+++ b/src/cranberryhold/platform/bootstrap.py
@@ -30,7 +30,8 @@
 
     :param on_error: called with the error on failure.
     """
-    deadline = time.monotonic() + TIMEOUT_S
+    read_at = time.monotonic()
+    deadline = read_at + TIMEOUT_S
     try:
         with socket.create_connection((store.ip, store.port), TIMEOUT_S) as connection:
             configurations = _read_page(connection, store, configuration_key, deadline)
@@ -52,6 +53,7 @@
         next(iter(items), None),
         configurations.store_revision,
         [item.to_stored_item() for item in members.items],
+        read_at,
         has_all_members=not members.truncated,
     )
 
--- a/tests/test_configuration_outages.py
+++ b/tests/test_configuration_outages.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import json
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
 from random import Random
 
 import pytest
@@ -30,19 +32,32 @@
 
     :param outage: start and end of the outage.
     :param changes: times at which versions 2, 3, ... are written.
+    :param response_s: seconds that a response is under way.
     """
 
-    def __init__(self, outage: tuple[float, float], changes: list[float]) -> None:
+    def __init__(
+        self,
+        outage: tuple[float, float],
+        changes: list[float],
+        *,
+        response_s: float = RESPONSE_TIME_S,
+    ) -> None:
         self._outage = outage
         self._changes = changes
+        self._response_s = response_s
         self.calls = 0
 
+    def version(self, now: float) -> int:
+        """Return the version that is stored at a time."""
+        return 1 + sum(change <= now for change in self._changes)
+
     async def get(self, key: str) -> ReadResult:
         """Return the present version."""
         assert key == KEY
         self.calls += 1
-        await self._respond_after(RESPONSE_TIME_S, CALL_TIMEOUT_S)
-        return self._result(since=0)
+        result = self._result(self.version(_now()), since=0)
+        await self._respond_after(self._response_s, CALL_TIMEOUT_S)
+        return result
 
     async def wait_for_change(
         self, key: str, store_revision: int, wait_s: float
@@ -53,25 +68,23 @@
         now = _now()
         pending = [t for t in self._changes if t > now]
         changed_at = pending[0] if pending else now + wait_s
-        if self._revision(now) > store_revision:
+        if self.version(now) > store_revision:
             changed_at = now
-        delay_s = min(changed_at - now, wait_s) + RESPONSE_TIME_S
+        answered_at = min(changed_at, now + wait_s)
+        result = self._result(self.version(answered_at), since=store_revision)
+        delay_s = answered_at - now + self._response_s
         await self._respond_after(delay_s, wait_s + WATCH_SLACK_S)
-        return self._result(since=store_revision)
+        return result
 
     async def _respond_after(self, delay_s: float, timeout_s: float) -> None:
         start, end = self._outage
         now = _now()
-        lost = now < end and now + delay_s > start
+        lost = (now < end and now + delay_s > start) or delay_s > timeout_s
         await asyncio.sleep(timeout_s if lost else delay_s)
         if lost:
             raise StoreError("no response", step="watch")
 
-    def _revision(self, now: float) -> int:
-        return 1 + sum(change <= now for change in self._changes)
-
-    def _result(self, since: int) -> ReadResult:
-        revision = self._revision(_now())
+    def _result(self, revision: int, *, since: int) -> ReadResult:
         document = json.dumps(
             {
                 "version": revision,
@@ -93,11 +106,18 @@
     return asyncio.get_running_loop().time()
 
 
-async def adoption_times(
-    store: SilentStore, seed: int, *, limit_s: float, until_s: float
-) -> dict[int, float]:
-    """Follow the store, and return when each version was adopted."""
-    times: dict[int, float] = {}
+@asynccontextmanager
+async def following(
+    store: SilentStore,
+    seed: int,
+    *,
+    limit_s: float,
+    on_change: Callable[[int], None] = lambda _: None,
+) -> AsyncIterator[RouteTable]:
+    """Keep a route table up to date inside the context.
+
+    :param on_change: called with each version that was adopted.
+    """
     routes, telemetry = RouteTable(60.0, limit_s), Telemetry("test", LogLines(), _now)
     follower = ConfigurationFollower(
         ConfigurationAdopter(
@@ -105,20 +125,50 @@
             routes,
             telemetry,
             monotonic=_now,
-            on_change=lambda: times.setdefault(routes.version, _now()),
+            on_change=lambda: on_change(routes.version),
         ),
         store,
         telemetry,
         dependency=Dependency("configuration", telemetry, _now),
         random=Random(seed),
+        monotonic=_now,
         limit_s=limit_s,
     )
     task = asyncio.create_task(follower.run())
-    await asyncio.sleep(until_s)
-    task.cancel()
+    try:
+        yield routes
+    finally:
+        task.cancel()
+
+
+async def adoption_times(
+    store: SilentStore, seed: int, *, limit_s: float, until_s: float
+) -> dict[int, float]:
+    """Follow the store, and return when each version was adopted."""
+    times: dict[int, float] = {}
+
+    def record(version: int) -> None:
+        times.setdefault(version, _now())
+
+    async with following(store, seed, limit_s=limit_s, on_change=record):
+        await asyncio.sleep(until_s)
     return times
 
 
+async def times_of_stale_confidence(
+    store: SilentStore, seed: int, *, limit_s: float, until_s: float
+) -> list[float]:
+    """Return when an outdated version counted as the newest beyond the limit."""
+    found = []
+    async with following(store, seed, limit_s=limit_s) as routes:
+        while _now() < until_s:
+            due = store.version(_now() - limit_s)
+            if routes.is_current(_now()) and routes.version < due:
+                found.append(round(_now(), 2))
+            await asyncio.sleep(0.05)
+    return found
+
+
 @pytest.mark.parametrize("length_s", [0.2, 1.0, 2.0, 5.0, 12.0])
 @pytest.mark.parametrize(("change_limit_s", "outage_limit_s"), LIMITS_S)
 def test_a_change_after_a_silent_outage_is_in_force_in_time(
@@ -143,3 +193,19 @@
         if adopted > limit:
             late.append((round(start, 2), round(adopted - end, 2)))
     assert not late
+
+
+@pytest.mark.parametrize("response_s", [0.005, 0.3, 0.7, 1.4])
+@pytest.mark.parametrize("limit_s", [limit_s for limit_s, _ in LIMITS_S])
+def test_a_late_response_does_not_confirm_a_configuration_beyond_the_limit(
+    limit_s: float, response_s: float
+) -> None:
+    # Guards against a reset of callers of an added route because the response that
+    # confirmed the configuration without it was under way for long, and the next one
+    # was lost.
+    for step in range(40):
+        change = FIRST_CHANGE_S + 0.1 * step
+        outage = change + response_s, change + 60.0
+        store = SilentStore(outage, [change], response_s=response_s)
+        stale = times_of_stale_confidence(store, step, limit_s=limit_s, until_s=30.0)
+        assert run_virtual(stale) == []
--- a/tests/test_flow_daemons.py
+++ b/tests/test_flow_daemons.py
@@ -192,7 +192,7 @@
         telemetry = Telemetry("test", LogLines(), lambda: 0.0)
         address = Address(machine_ip(9), 0)
         received, core = [], FakeCore()
-        bootstrap = BootstrapState(None, 7, [])
+        bootstrap = BootstrapState(None, 7, [], 0.0)
         with (
             open_udp(address, telemetry) as receiver,
             open_udp(address, telemetry) as sender,
--- a/tests/test_flow_store.py
+++ b/tests/test_flow_store.py
@@ -162,6 +162,7 @@
             telemetry,
             dependency=Dependency("store", telemetry, lambda: 0.0),
             random=Random(1),
+            monotonic=lambda: 0.0,
             limit_s=3.0,
         )
         task = asyncio.create_task(follower.run())
