Do not confirm a configuration by a stored one that can't be read

What callers could see: a reset on a route that only the stored configuration has, as the daemon could not read it, but counted its own as the newest.

Cause: the result of a read was confirmed whether its document could be decoded or not. Change: the adopter applies the result of a read as a whole, and an unreadable document stops confirmations until a readable one is stored; flows to unknown routes then get no answer in place of a reset.

test_a_configuration_is_not_the_newest_if_the_stored_one_is_unreadable failed before, from 3 s after the change on. The store of the users accepts only valid configurations, so it needs a writer of another version, or bytes that are lost on the way.

--- a/src/cranberryhold/flows/adoption.py
+++ b/src/cranberryhold/flows/adoption.py
@@ -4,6 +4,7 @@
 from typing import Protocol
 
 from cranberryhold.exceptions import CranberryholdError
+from cranberryhold.flows.leased_store import StoredItem
 from cranberryhold.flows.route_table import Configuration, RouteTable, changed_routes
 from cranberryhold.flows.telemetry import Telemetry
 
@@ -46,6 +47,7 @@
         self._telemetry = telemetry
         self._monotonic = monotonic
         self._on_change = on_change
+        self._stored_is_readable = True
 
     @property
     def key(self) -> str:
@@ -57,17 +59,28 @@
         """Version in effect, 0 before the first."""
         return self._routes.version
 
-    def confirm(self, as_of: float) -> None:
-        """Record that the store had no newer configuration than the one in effect.
+    def apply_read(self, item: StoredItem | None, as_of: float) -> None:
+        """Apply the result of a read of the store.
 
-        :param as_of: monotonic time in seconds at which it had none.
+        The configuration in effect counts as the newest, unless the stored one can't be
+        read.
+
+        :param item: the stored configuration, or None if it has not changed since the
+            last read.
+        :param as_of: monotonic time in seconds of the state that was read.
         """
-        self._routes.confirm(as_of)
+        if item is not None:
+            self._stored_is_readable = self.adopt(
+                item.value, source="store", revision=item.revision
+            )
+        if self._stored_is_readable:
+            self._routes.confirm(as_of)
 
-    def adopt(self, document: bytes, **origin: object) -> None:
+    def adopt(self, document: bytes, **origin: object) -> bool:
         """Put a document into effect if it holds a newer version.
 
         :param origin: fields for the log that tell where the document is from.
+        :return: whether the document could be read.
         """
         current = self._routes.configuration
         try:
@@ -77,10 +90,10 @@
             self._telemetry.event(
                 "configuration-malformed", level="ERROR", error=error, **origin
             )
-            return
+            return False
         now = self._monotonic()
         if not self._routes.adopt(configuration, now):
-            return
+            return True
         added, removed = changed_routes(
             current.routes if current else (), configuration.routes
         )
@@ -96,3 +109,4 @@
             **origin,
         )
         self._on_change()
+        return True
--- a/src/cranberryhold/flows/configuration.py
+++ b/src/cranberryhold/flows/configuration.py
@@ -11,7 +11,6 @@
 from cranberryhold.flows.http_client import HttpClient
 from cranberryhold.flows.leased_store import (
     LeasedStore,
-    StoredItem,
     StoreHistoryLostError,
 )
 from cranberryhold.flows.telemetry import Telemetry
@@ -120,14 +119,9 @@
             waited_s = self._monotonic() - as_of
             if result.item is None and waited_s >= wait_s:
                 as_of += wait_s
-        if result.item is not None:
-            self._adopt_item(result.item)
-        self._adopter.confirm(as_of)
+        self._adopter.apply_read(result.item, as_of)
         return result.store_revision
 
-    def _adopt_item(self, item: StoredItem) -> None:
-        self._adopter.adopt(item.value, source="store", revision=item.revision)
-
     async def fetch_from(self, peer: Address, version: int) -> None:
         """Fetch a peer's configuration if its version is newer than the own one."""
         if version <= self._adopter.version or self._fetching:
--- a/src/cranberryhold/flows/entry_core.py
+++ b/src/cranberryhold/flows/entry_core.py
@@ -143,10 +143,7 @@
             decode_members(state.members, self._telemetry),
             complete=state.has_all_members,
         )
-        if state.configuration is not None:
-            item = state.configuration
-            self._adopter.adopt(item.value, source="store", revision=item.revision)
-        self._adopter.confirm(state.read_at)
+        self._adopter.apply_read(state.configuration, state.read_at)
 
     def apply_settings(self, settings: MemberSettings) -> None:
         """Apply changed settings, except the addresses of open sockets."""
--- a/tests/test_configuration_outages.py
+++ b/tests/test_configuration_outages.py
@@ -45,6 +45,7 @@
         self._outage = outage
         self._changes = changes
         self._response_s = response_s
+        self.malformed_versions: set[int] = set()
         self.calls = 0
 
     def version(self, now: float) -> int:
@@ -98,6 +99,8 @@
                 ],
             }
         ).encode()
+        if revision in self.malformed_versions:
+            document = b"{"
         item = StoredItem(KEY, document, revision) if revision > since else None
         return ReadResult(item, revision)
 
@@ -209,3 +212,11 @@
         store = SilentStore(outage, [change], response_s=response_s)
         stale = times_of_stale_confidence(store, step, limit_s=limit_s, until_s=30.0)
         assert run_virtual(stale) == []
+
+
+def test_a_configuration_is_not_the_newest_if_the_stored_one_is_unreadable() -> None:
+    # Guards against a reset of callers of a route that only the unreadable version has.
+    store = SilentStore((0.0, 0.0), [FIRST_CHANGE_S])
+    store.malformed_versions.add(2)
+    stale = times_of_stale_confidence(store, 1, limit_s=3.0, until_s=30.0)
+    assert run_virtual(stale) == []
