Count every silent sidecar as holder of its flows for the same time

What callers could see: a reset of a flow whose target is only paused or cut off, 4 s after the entry daemon of its packets had started. Operators of similar systems report this class: a machine that is silent for a while has its running work given up.

Cause: a sidecar that the store lists but that has sent no status to an entry daemon, and one that had not heard from its target, counted as ended after 4 s of silence; all others count as holders for 15 s, longer than any deadline.

Change: 15 s for all. A stale list may contain a sidecar that has left; it is not waited for again, as a flow without a holder would go without its reset.

test_a_listed_sidecar_that_is_silent_counts_as_holder and test_a_new_sidecar_without_a_heartbeat_counts_as_holder_when_silent failed before. test_a_listed_member_is_waited_for_only_once waits for the new time, and test_a_restarted_sidecar_that_falls_silent_counts_as_holder checks until 14 s in place of 5 s that the search is not complete. docs/invariants.md listed the fault as open.

--- a/src/cranberryhold/flows/peers.py
+++ b/src/cranberryhold/flows/peers.py
@@ -21,19 +21,19 @@
 PEER_EXPIRY_S = 60.0
 # A member that sends statuses less often is removed after this many were missed.
 EXPIRY_STATUSES = 3
-# A member that the store or a peer lists answers within this time even if it restarts;
-# otherwise it has ended.
-LISTED_PEER_TIMEOUT_S = 4.0
-# A restarting entry instance is back within this time.
+# Members that sent a status within this time are passed on to new members.
+RECENT_PEER_S = 4.0
+# A restarting entry instance is back within this time, and lists no longer contain a
+# sidecar that has left.
 DEPARTED_RETENTION_S = 10.0
 # An entry instance that misses this many statuses is assumed to take no packets.
 MAX_MISSED_ENTRY_STATUSES = 3
 # Half of the candidates come from the entry instance's zone, if it has enough.
 MAX_NEW_FLOW_CANDIDATES = 8
-# A sidecar that is silent for longer has ended together with its target.
+# A sidecar that is silent for longer, or has been listed for longer without a status,
+# has ended together with its target. Longer than any deadline, as a machine that is
+# paused or cut off must not lose its flows.
 HOLDER_TIMEOUT_S = 15.0
-# The same for a sidecar that had not received a heartbeat of its target.
-UNKNOWN_TARGET_TIMEOUT_S = 4.0
 # A process that can't rely on the store's list of members has heard from all by then.
 MEMBER_DISCOVERY_S = 5.0
 # A target in another zone is preferred only if its load is lower by this factor.
@@ -74,12 +74,6 @@
         """Return the seconds without a status after which it counts as silent."""
         return silence_timeout_s(self.status.interval_ms / 1000)
 
-    def holder_timeout_s(self) -> float:
-        """Return the seconds without a status after which its target holds no flows."""
-        if self.status.service == UNKNOWN_SERVICE and self.confirmed is None:
-            return UNKNOWN_TARGET_TIMEOUT_S
-        return HOLDER_TIMEOUT_S
-
     def may_hold_flows_of(self, services: list[bytes] | None) -> bool:
         """Whether its target may hold flows of these services; None means all."""
         return services is None or self.status.service in (*services, UNKNOWN_SERVICE)
@@ -150,8 +144,10 @@
         self._registered: set[bytes] | None = None
         self._entries: dict[bytes, EntryPeer] = {}
         # Entry instances of the local zone that announced their end, with the time.
-        self._departed: dict[bytes, float] = {}
+        self._departed_entries: dict[bytes, float] = {}
         self._sidecars: dict[bytes, SidecarPeer] = {}
+        # Sidecars that left without flows, with the time; lists may be older than that.
+        self._departed_sidecars: dict[bytes, float] = {}
         # Members that were listed but sent no status yet, with the time of listing.
         self._listed_entries: dict[bytes, float] = {}
         self._listed_sidecars: dict[bytes, float] = {}
@@ -203,6 +199,7 @@
     ) -> list[bytes]:
         """Add members that the store or a peer lists; return those not known before."""
         now = self._monotonic()
+        sidecars = [ip for ip in sidecars if not self._has_departed(ip, now)]
         new = []
         for ips, known, listed in (
             (entries, self._entries, self._listed_entries),
@@ -221,6 +218,7 @@
         now = self._monotonic()
         peer = self._sidecars.get(ip)
         self._listed_sidecars.pop(ip, None)
+        self._departed_sidecars.pop(ip, None)
         confirmed = status if _is_confirmed(status) else None
         if peer is None:
             self._sidecars[ip] = SidecarPeer(ip, status, now, confirmed=confirmed)
@@ -241,7 +239,7 @@
         """Record an entry instance's status; return whether its process is new."""
         previous = self._entries.get(ip)
         self._listed_entries.pop(ip, None)
-        self._departed.pop(ip, None)
+        self._departed_entries.pop(ip, None)
         self._entries[ip] = EntryPeer(ip, status, self._monotonic())
         return previous is None or previous.status.process != status.process
 
@@ -254,7 +252,7 @@
         if entry is not None and entry.status.process == message.process:
             del self._entries[ip]
             if entry.status.zone == self._zone:
-                self._departed[ip] = self._monotonic()
+                self._departed_entries[ip] = self._monotonic()
             return True
         sidecar = self._sidecars.get(ip)
         if sidecar is None or sidecar.status.process != message.process:
@@ -263,6 +261,7 @@
             sidecar.restarting = True
         else:
             del self._sidecars[ip]
+            self._departed_sidecars[ip] = self._monotonic()
         return True
 
     def rotation(self) -> Rotation:
@@ -277,7 +276,7 @@
             for p in local
         )
         departed = [
-            t for t in self._departed.values() if now - t < DEPARTED_RETENTION_S
+            t for t in self._departed_entries.values() if now - t < DEPARTED_RETENTION_S
         ]
         return Rotation(ready, len(local) - ready + len(departed))
 
@@ -304,14 +303,18 @@
             ]:
                 del known[ip]
                 expired.append(ip)
-        for listed in (self._listed_entries, self._listed_sidecars):
-            for ip in [i for i, t in listed.items() if now - t > PEER_EXPIRY_S]:
-                del listed[ip]
+        for times in (
+            self._listed_entries,
+            self._listed_sidecars,
+            self._departed_sidecars,
+        ):
+            for ip in [i for i, t in times.items() if now - t > PEER_EXPIRY_S]:
+                del times[ip]
         return expired
 
     def recent_peers(self) -> PeerList:
         """Return the members that sent a status recently."""
-        cutoff = self._monotonic() - LISTED_PEER_TIMEOUT_S
+        cutoff = self._monotonic() - RECENT_PEER_S
         entries, sidecars = (
             tuple(ip for ip, peer in known.items() if peer.last_seen >= cutoff)
             for known in (self._entries, self._sidecars)
@@ -363,7 +366,7 @@
             or not self._knows_all_members(now)
             or now - self._resumed_at <= self._longest_silence_s()
             or any(
-                now - since < LISTED_PEER_TIMEOUT_S
+                now - since < HOLDER_TIMEOUT_S
                 for since in self._listed_sidecars.values()
             )
         ):
@@ -371,13 +374,18 @@
         holders = [
             peer
             for peer in self._sidecars.values()
-            if now - peer.last_seen < peer.holder_timeout_s()
+            if now - peer.last_seen < HOLDER_TIMEOUT_S
             and peer.may_hold_flows_of(services)
         ]
         return len(holders) == candidates and all(
             self.is_reachable(peer.ip) for peer in holders
         )
 
+    def _has_departed(self, ip: bytes, now: float) -> bool:
+        """Whether a sidecar has left so recently that a list may still contain it."""
+        departed_at = self._departed_sidecars.get(ip)
+        return departed_at is not None and now - departed_at < DEPARTED_RETENTION_S
+
     def _knows_all_members(self, now: float) -> bool:
         """Whether every running member is known.
 
--- a/tests/test_flow_peers.py
+++ b/tests/test_flow_peers.py
@@ -13,11 +13,11 @@
     decode_message,
 )
 from cranberryhold.flows.peers import (
+    DEPARTED_RETENTION_S,
     HOLDER_TIMEOUT_S,
     MAX_NEW_FLOW_CANDIDATES,
     MEMBER_DISCOVERY_S,
     PEER_EXPIRY_S,
-    UNKNOWN_TARGET_TIMEOUT_S,
     Peers,
     Rotation,
 )
@@ -200,10 +200,10 @@
         peers.update_sidecar(self.ip(1), self.sidecar(flows=3))
         unknown = self.sidecar(process=2, service=UNKNOWN_SERVICE, accepts=False)
         peers.update_sidecar(self.ip(1), unknown)
-        clock.now += UNKNOWN_TARGET_TIMEOUT_S + 1
+        clock.now += HOLDER_TIMEOUT_S - 1
         peers.update_sidecar(self.ip(2), self.sidecar())
         assert not peers.search_is_complete([CORE], 1)
-        clock.now += HOLDER_TIMEOUT_S
+        clock.now += 1
         peers.update_sidecar(self.ip(2), self.sidecar())
         assert peers.search_is_complete([CORE], 1)
 
@@ -236,11 +236,47 @@
         peers.update_sidecar(self.ip(2), self.sidecar())
         assert peers.add_listed((), [self.ip(1)]) == [self.ip(1)]
         assert not peers.search_is_complete([CORE], 1)
-        clock.now += 4.1
+        clock.now += HOLDER_TIMEOUT_S + 0.1
         assert peers.add_listed((), [self.ip(1)]) == []
         peers.update_sidecar(self.ip(2), self.sidecar())
         assert peers.search_is_complete([CORE], 1)
 
+    def test_a_listed_sidecar_that_is_silent_counts_as_holder(self):
+        # Guards against the reset of a flow whose target is only paused or cut off, by
+        # an entry instance that has started since and knows it from the list alone.
+        peers, clock = self.peers()
+        peers.record_registered(map(self.ip, range(9)))
+        peers.add_listed((), [self.ip(1)])
+        clock.now += HOLDER_TIMEOUT_S - 1
+        peers.update_sidecar(self.ip(2), self.sidecar())
+        assert not peers.search_is_complete([CORE], 1)
+        clock.now += 1
+        peers.update_sidecar(self.ip(2), self.sidecar())
+        assert peers.search_is_complete([CORE], 1)
+
+    def test_a_new_sidecar_without_a_heartbeat_counts_as_holder_when_silent(self):
+        # Guards against the same where the sidecar, too, has just started and had not
+        # heard from its target when it fell silent.
+        peers, clock = self.peers()
+        peers.record_registered(map(self.ip, range(9)))
+        unknown = self.sidecar(service=UNKNOWN_SERVICE, accepts=False)
+        peers.update_sidecar(self.ip(1), unknown)
+        clock.now += HOLDER_TIMEOUT_S - 1
+        peers.update_sidecar(self.ip(2), self.sidecar())
+        assert not peers.search_is_complete([CORE], 1)
+
+    def test_a_sidecar_that_left_is_not_waited_for_because_a_list_is_stale(self):
+        # Guards against flows without a holder that are not reset for that time.
+        peers, clock = self.peers()
+        peers.record_registered(map(self.ip, range(9)))
+        for number in (1, 2):
+            peers.update_sidecar(self.ip(number), self.sidecar())
+        peers.record_departure(self.ip(1), Leaving(1, 0))
+        assert peers.add_listed((), [self.ip(1)]) == []
+        assert peers.search_is_complete([CORE], 1)
+        clock.now += DEPARTED_RETENTION_S + 0.1
+        assert peers.add_listed((), [self.ip(1)]) == [self.ip(1)]
+
     def test_a_list_without_a_running_member_does_not_make_a_search_complete(self):
         # Guards against the reset of an open flow by an entry instance that restarted
         # after the leases of running sidecars had expired in an outage of the store.
