Find changes that an open watch of the manifest has missed

What callers saw: for up to 65 s after an outage in which the key-value service kept its connections but answered nothing, a manifest that had been accepted was not in force; 3 s are promised.

Readers wait 55 s for a watch and give it up 10 s later; a service that will never answer it gives no sign.

Change: the first reader of each zone asks for the index of the key every second, without its value, and reads the key if the index differs from the revision that its watch knows. The lost watch is given up then.

Ruled out: shorter watches, which carry the whole value each time (up to 1 MB); checks by all readers.

Outages of 0.1 to 70 s are covered by a second test. The bounds on calls in the other tests count watches and reads as before; the checks have a counter and a bound of their own (one a second in each zone).

--- a/emulator/key_values.py
+++ b/emulator/key_values.py
@@ -105,6 +105,16 @@
         self._expire_sessions()
         return self._entries.get(key)
 
+    def keys(self, prefix: str) -> list[str]:
+        """Return the keys that start with a prefix."""
+        self._expire_sessions()
+        return sorted(key for key in self._entries if key.startswith(prefix))
+
+    def index_of(self, prefix: str) -> int:
+        """Return the highest index of the keys with a prefix, or that of the store."""
+        indexes = [self._entries[key].modify_index for key in self.keys(prefix)]
+        return max(indexes, default=self.index)
+
     def put(self, key: str, value: bytes, cas: int | None = None) -> bool:
         """Write a key; with ``cas``, only if that is still its modify index."""
         self._expire_sessions()
@@ -268,6 +278,14 @@
         await self._after_call("read")
         return _to_versioned_value(entry)
 
+    async def latest_index(self, key: str) -> int:
+        """Return the highest revision of the keys that start with ``key``."""
+        self.key_values.calls.reads += 1
+        await self._before_call("read index")
+        index = self.key_values.index_of(key)
+        await self._after_call("read index")
+        return index
+
     async def compare_and_swap(
         self, key: str, value: bytes, expected_revision: int
     ) -> bool:
--- a/emulator/platform.py
+++ b/emulator/platform.py
@@ -102,6 +102,8 @@
 
     async def _read(self, request: web.Request) -> web.Response:
         key = request.match_info["key"]
+        if "keys" in request.query:
+            return self._list_keys(key)
         if "index" in request.query:
             wait_s = _parse_duration_s(request.query.get("wait", ""), DEFAULT_WAIT_S)
             index = int(request.query["index"])
@@ -114,6 +116,13 @@
             return web.Response(status=404, headers=headers)
         return web.json_response([_encode_entry(key, entry)], headers=headers)
 
+    def _list_keys(self, prefix: str) -> web.Response:
+        keys = self.key_values.keys(prefix)
+        headers = {"X-Consul-Index": str(self.key_values.index_of(prefix))}
+        if not keys:
+            return web.Response(status=404, headers=headers)
+        return web.json_response(keys, headers=headers)
+
     async def _write(self, request: web.Request) -> web.Response:
         key, query = request.match_info["key"], request.query
         value = await request.read()
--- a/src/cranberryhold/consul.py
+++ b/src/cranberryhold/consul.py
@@ -105,6 +105,13 @@
         response = await self._read("read key", key, {}, self._call_timeout_s)
         return _decode_value(response)
 
+    async def latest_index(self, key: str) -> int:
+        """Return the highest revision of the keys that start with ``key``."""
+        response = await self._read(
+            "read index", key, {"keys": "true"}, self._call_timeout_s
+        )
+        return response.index
+
     async def compare_and_swap(
         self, key: str, value: bytes, expected_revision: int
     ) -> bool:
--- a/src/cranberryhold/distribution/reader.py
+++ b/src/cranberryhold/distribution/reader.py
@@ -8,12 +8,13 @@
 from pydantic import ValidationError
 
 from cranberryhold.clock import Clock
+from cranberryhold.distribution.missed_changes import MissedChangeDetector
 from cranberryhold.distribution.state import ManifestState
 from cranberryhold.exceptions import ManifestError, StoreError
 from cranberryhold.manifest import MANIFEST_KEY, AcceptedManifest
 from cranberryhold.members import Member, MemberChange, MemberTable, Role
 from cranberryhold.pacing import Backoff
-from cranberryhold.store import Store
+from cranberryhold.store import Store, VersionedValue
 
 READERS_PER_ZONE = 2
 """Two, so that one may fail without effect; with 8 zones the store has 16 open
@@ -37,7 +38,7 @@
 
     Readers are the live entry instances of a zone that rank first by rendezvous
     hashing. Different views of the membership may elect more of them; the additional
-    watches do no harm.
+    watches do no harm. The first of them also checks that the watches miss no change.
     """
 
     def __init__(
@@ -58,6 +59,13 @@
         self._rng = rng
         self._zone_changed = asyncio.Event()
         self._revision = 0
+        self._detector = MissedChangeDetector(
+            store,
+            MANIFEST_KEY,
+            is_responsible=lambda: self._rank() == 0,
+            clock=clock,
+            rng=rng,
+        )
         self.watches = 0
         self.failures = 0
         table.changes.subscribe(self._on_change)
@@ -65,17 +73,8 @@
     @property
     def elected(self) -> bool:
         """Whether this process is one of its zone's readers."""
-        if self._local_member.role is not Role.ENTRY:
-            return False
-        candidates = [
-            m.node_id
-            for m in self._table.entry_instances()
-            if m.zone == self._local_member.zone
-        ]
-        return (
-            self._local_member.node_id
-            in sorted(candidates, key=_rendezvous_score)[:READERS_PER_ZONE]
-        )
+        rank = self._rank()
+        return rank is not None and rank < READERS_PER_ZONE
 
     async def run(self) -> None:
         """Watch the store while elected."""
@@ -101,13 +100,22 @@
             elapsed = self._clock.monotonic() - started
             await self._clock.sleep(max(0.0, delay - elapsed))
 
+    def _rank(self) -> int | None:
+        """Return the rank of this process in its zone, None for a sidecar."""
+        if self._local_member.role is not Role.ENTRY:
+            return None
+        own_score = _rendezvous_score(self._local_member.node_id)
+        return sum(
+            _rendezvous_score(member.node_id) < own_score
+            for member in self._table.entry_instances()
+            if member.zone == self._local_member.zone
+        )
+
     async def _watch(self) -> float:
         """Run one watch; return the shortest time from its start to the next one."""
         self.watches += 1
         async with asyncio.timeout(WATCH_TIMEOUT_S + WATCH_GRACE_S):
-            found = await self._store.watch(
-                MANIFEST_KEY, self._revision, WATCH_TIMEOUT_S
-            )
+            found = await self._wait_for_change()
         self._state.record_store_contact()
         if found is None or found.revision == self._revision:
             return MIN_IDLE_WATCH_INTERVAL_S
@@ -115,6 +123,25 @@
         self._adopt(found.value)
         return MIN_WATCH_INTERVAL_S
 
+    async def _wait_for_change(self) -> VersionedValue | None:
+        """Wait for the watch, or for a change that it has missed."""
+        watch = asyncio.create_task(
+            self._store.watch(MANIFEST_KEY, self._revision, WATCH_TIMEOUT_S)
+        )
+        missed = asyncio.create_task(self._detector.wait(self._revision))
+        tasks = (watch, missed)
+        try:
+            await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+            if watch.done():
+                return watch.result()
+            found = missed.result()
+            logger.warning("event=store-watch-lost revision={}", found.revision)
+            return found
+        finally:
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+
     def _adopt(self, value: bytes) -> None:
         try:
             accepted = AcceptedManifest.model_validate_json(value)
--- a/src/cranberryhold/store.py
+++ b/src/cranberryhold/store.py
@@ -39,6 +39,13 @@
     async def get(self, key: str) -> VersionedValue | None:
         """Return the value of a key, or None if there is none."""
 
+    async def latest_index(self, key: str) -> int:
+        """Return the revision of a key without its value.
+
+        The number may be higher, if keys that start with the same name have changed
+        later or the key does not exist.
+        """
+
     async def compare_and_swap(
         self, key: str, value: bytes, expected_revision: int
     ) -> bool:
--- a/tests/test_consul.py
+++ b/tests/test_consul.py
@@ -213,6 +213,20 @@
     )
 
 
+async def test_the_latest_index_changes_with_the_key_and_needs_no_value(
+    store: ConsulStore, key_values: KeyValues
+) -> None:
+    assert await store.latest_index(KEY) >= 1
+    key_values.put(KEY, b"a" * 1000)
+    written = await store.get(KEY)
+    assert written is not None
+    assert await store.latest_index(KEY) == written.revision
+    key_values.put("other", b"x")
+    assert await store.latest_index(KEY) == written.revision
+    key_values.put(f"{KEY}-copy", b"x")
+    assert await store.latest_index(KEY) > written.revision
+
+
 async def test_lease_has_one_holder_and_expires_while_the_holder_is_paused(
     store: ConsulStore, key_values: KeyValues
 ) -> None:
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -183,6 +183,54 @@
         await put_in_force(cluster, store, accepted_manifest(2))
 
 
+@virtual
+@pytest.mark.parametrize("outage_s", [0.1, 0.5, 1.0, 2.0, 30.0, 70.0])
+async def test_change_right_after_any_silent_outage_is_in_force_within_the_limit(
+    outage_s: float,
+) -> None:
+    # Guards against a detector whose own call was lost in the outage.
+    store = MemoryStore()
+    async with running_cluster(16) as cluster:
+        await cluster.start_all(12, store=store)
+        await put_in_force(cluster, store, accepted_manifest(1))
+        for generation in range(2, 8):
+            await cluster.clock.sleep(10 + 0.17 * generation)
+            async with store.silence():
+                await cluster.clock.sleep(outage_s)
+            await put_in_force(cluster, store, accepted_manifest(generation))
+
+
+@virtual
+async def test_only_the_first_reader_of_each_zone_checks_for_missed_changes() -> None:
+    store = MemoryStore()
+    async with running_cluster(17) as cluster:
+        await cluster.start_all(36, store=store)
+        await put_in_force(cluster, store, accepted_manifest(1))
+        store.calls = store.checks = 0
+        await cluster.clock.sleep(50)
+        assert cluster.zones * 50 <= store.checks <= cluster.zones * 50 / 0.8 + 3
+        assert store.calls <= 2 * cluster.zones
+
+
+@virtual
+async def test_another_key_with_the_same_prefix_costs_one_read() -> None:
+    # The index of a prefix is also raised by other keys.
+    store = MemoryStore()
+    async with running_cluster(18) as cluster:
+        await cluster.start_all(12, store=store)
+        await put_in_force(cluster, store, accepted_manifest(1))
+
+        async def higher_index(key: str) -> int:
+            return 99
+
+        await cluster.clock.sleep(1)  # The next watches have begun.
+        store.latest_index = higher_index
+        store.calls = 0
+        await cluster.clock.sleep(30)
+        assert store.calls <= cluster.zones
+        await put_in_force(cluster, store, accepted_manifest(2))
+
+
 @virtual
 async def test_slow_store_delays_a_change_only_by_its_own_latency() -> None:
     store = MemoryStore()
@@ -223,9 +271,13 @@
 
         for instance in isolated:
             if instance.reader:
-                instance.reader._store = type(
-                    "UnreachableStore", (), {"watch": unreachable}
+                isolated_store = type(
+                    "UnreachableStore",
+                    (),
+                    {"watch": unreachable, "latest_index": unreachable},
                 )()
+                instance.reader._store = isolated_store
+                instance.reader._detector._store = isolated_store
         await cluster.clock.sleep(70)
         for generation in (2, 3):
             store.put(accepted_manifest(generation, *MANY_SERVICES[generation:]))
--- a/tools/capacity_parts/model.py
+++ b/tools/capacity_parts/model.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from cranberryhold.distribution.distributor import MAX_INLINE_DELTA_BYTES
+from cranberryhold.distribution.missed_changes import CHECK_INTERVAL_S, CHECK_JITTER
 from cranberryhold.distribution.reader import (
     BACKOFF_S,
     READERS_PER_ZONE,
@@ -237,9 +238,14 @@
 
     @property
     def store_reads(self) -> float:
-        """Reads of the store a second: watches, and one per ``apply``."""
+        """Reads of the store a second: watches, checks, and one per ``apply``."""
         watches = self.unit_cost("watch.calls") * self.site.zones
-        return watches + self.site.changes / DAY_S * (self.readers + 1)
+        return watches + self.checks + self.site.changes / DAY_S * (self.readers + 1)
+
+    @property
+    def checks(self) -> float:
+        """Checks for missed changes a second, by the first reader of each zone."""
+        return self.site.zones / (CHECK_INTERVAL_S * (1 - CHECK_JITTER / 2))
 
     @property
     def stored_answer_bytes(self) -> float:
@@ -249,7 +255,7 @@
     @property
     def outage_calls(self) -> float:
         """Calls a second to a store that fails at once, with the longest backoff."""
-        return self.readers / (0.75 * BACKOFF_S[1])
+        return self.readers / (0.75 * BACKOFF_S[1]) + self.checks
 
     @property
     def lease_writes(self) -> float:
--- a/tools/capacity_parts/roles.py
+++ b/tools/capacity_parts/roles.py
@@ -266,15 +266,23 @@
     Figure(
         "calls to the store",
         "1/s",
-        lambda m: m.unit_cost("watch.calls") / 2 + m.site.changes / DAY_S,
+        lambda m: (
+            m.unit_cost("watch.calls") / 2
+            + m.site.changes / DAY_S
+            + m.checks / m.site.zones
+        ),
         "watch.calls",
-        "a watch lasts 55 s or until a change",
+        "a watch lasts 55 s or until a change; the first reader checks every second",
     ),
     Figure(
         "request bytes sent to the store",
         "B/s",
         lambda m: (
-            (m.unit_cost("watch.calls") / 2 + m.site.changes / DAY_S)
+            (
+                m.unit_cost("watch.calls") / 2
+                + m.site.changes / DAY_S
+                + m.checks / m.site.zones
+            )
             * m.unit_cost("watch.bytes")
         ),
         "watch.calls watch.bytes",
@@ -321,7 +329,7 @@
         "1/s",
         lambda m: m.store_reads,
         "watch.calls",
-        "watches that end, and one read per apply",
+        "watches that end, a check a second in each zone, and one read per apply",
         STORE_READS_LIMIT,
     ),
     Figure(
@@ -352,7 +360,7 @@
         "1/s",
         lambda m: m.outage_calls,
         "watch.calls",
-        "backoff of 5 s at most, with jitter",
+        "checks, and watches with a backoff of 5 s at most, with jitter",
     ),
     Figure(
         "if each member held a watch",
--- a/tools/clusters.py
+++ b/tools/clusters.py
@@ -72,6 +72,7 @@
         self.down = False
         self.delay_s = 0.005
         self.calls = 0
+        self.checks = 0
         self._changed = asyncio.Event()
         self._silent = False
         self._silences = 0
@@ -103,24 +104,41 @@
         """Wait until the revision differs."""
         self.calls += 1
         assert key == MANIFEST_KEY
-        silences, silent = self._silences, self._silent
-        await asyncio.sleep(self.delay_s)
-        if self.down:
-            raise StoreError("connection refused", step="watch")
-        timed_out = False
-        if self.value is None or self.value.revision == after_revision:
+        async with self._answering("watch"):
+            if self.value is not None and self.value.revision != after_revision:
+                return self.value
             try:
                 async with asyncio.timeout(timeout_s):
                     await self._changed.wait()
             except TimeoutError:
-                timed_out = True
+                return None
+        return self.value
+
+    async def latest_index(self, key: str) -> int:
+        """Return the revision."""
+        self.checks += 1
+        assert key == MANIFEST_KEY
+        async with self._answering("read index"):
+            return self.value.revision if self.value else 0
+
+    async def get(self, key: str) -> VersionedValue | None:
+        """Return the value."""
+        self.calls += 1
+        assert key == MANIFEST_KEY
+        async with self._answering("read key"):
+            return self.value
+
+    @asynccontextmanager
+    async def _answering(self, step: str) -> AsyncIterator[None]:
+        silences, silent = self._silences, self._silent
+        await asyncio.sleep(self.delay_s)
+        if self.down:
+            raise StoreError("connection refused", step=step)
+        yield
         if silent or self._silences > silences:
             await asyncio.Event().wait()
-        if timed_out:
-            return None
         if self.down:
-            raise StoreError("connection reset", step="watch")
-        return self.value
+            raise StoreError("connection reset", step=step)
 
 
 class Instance:
