--- /dev/null
+++ b/src/cranberryhold/flows/peer_records.py
@@ -0,0 +1,95 @@
+"""Last known states of other members."""
+
+from msgspec import Struct
+
+from cranberryhold.flows.peer_messages import EntryStatus, SidecarStatus
+from cranberryhold.flows.status_schedule import silence_timeout_s
+from cranberryhold.flows.target_state import UNKNOWN_SERVICE
+
+# A target in another zone is preferred only if its load is lower by this factor.
+REMOTE_COST_FACTOR = 1.3
+
+
+class SidecarPeer(Struct):
+    """Last known state of a sidecar and its target.
+
+    :param ip: packed IPv4 address.
+    :param status: its last status.
+    :param last_seen: monotonic time of that status, in seconds.
+    :param offered: number of flows offered to it since then.
+    :param restarting: whether its process has ended and a successor is expected.
+    :param confirmed: the last status that rests on a heartbeat of the target, possibly
+        of an earlier process of the sidecar.
+    """
+
+    ip: bytes
+    status: SidecarStatus
+    last_seen: float
+    offered: int = 0
+    restarting: bool = False
+    confirmed: SidecarStatus | None = None
+
+    def accepts_flows_of(self, service: bytes) -> bool:
+        """Whether its target takes new flows of a service.
+
+        A restarted sidecar presumes that a target which listens is ready. That does
+        not count if the target was draining before.
+        """
+        status = self.status
+        if status.service != service or not status.accepts:
+            return False
+        return not status.presumed or self.confirmed is None or self.confirmed.accepts
+
+    def silence_timeout_s(self) -> float:
+        """Return the seconds without a status after which it counts as silent."""
+        return silence_timeout_s(self.status.interval_ms / 1000)
+
+    def may_hold_flows_of(self, services: list[bytes] | None) -> bool:
+        """Whether its target may hold flows of these services; None means all."""
+        return services is None or self.status.service in (*services, UNKNOWN_SERVICE)
+
+    def cost(self, zone: str) -> tuple[bool, float]:
+        """Return the cost of placing a new flow here; the lowest is best."""
+        status = self.status
+        slots = max(1, status.slots // 2 if status.cold else status.slots)
+        busy = status.running + self.offered >= slots
+        load = (status.flows + self.offered + 1) / slots
+        factor = 1.0 if status.zone == zone else REMOTE_COST_FACTOR
+        return busy, load * factor
+
+
+class EntryPeer(Struct):
+    """Last known state of an entry instance.
+
+    :param ip: packed IPv4 address.
+    :param status: its last status.
+    :param last_seen: monotonic time of that status, in seconds.
+    """
+
+    ip: bytes
+    status: EntryStatus
+    last_seen: float
+
+
+class Rotation(Struct, frozen=True):
+    """Other entry instances of the local zone, by readiness for the fabric.
+
+    :param ready: number of instances that take packets.
+    :param absent: number of instances that start, restart or are silent.
+    """
+
+    ready: int
+    absent: int
+
+    def tolerates_withdrawal(self) -> bool:
+        """Whether the zone can spare this instance in addition to the absent ones.
+
+        If some but fewer than half of a zone's instances are ready, the fabric sends
+        packets to all of them, including those that do not run.
+        """
+        return self.ready == 0 or self.keeps_half()
+
+    def keeps_half(self) -> bool:
+        """Whether half of the zone's instances are ready without this one."""
+        total = self.ready + self.absent + 1
+        return self.ready > 0 and 2 * self.ready >= total
--- a/tests/test_flow_peers.py
+++ b/tests/test_flow_peers.py
@@ -12,6 +12,7 @@
     SidecarStatus,
     decode_message,
 )
+from cranberryhold.flows.peer_records import Rotation
 from cranberryhold.flows.peers import (
     DEPARTED_RETENTION_S,
     HOLDER_TIMEOUT_S,
@@ -19,7 +20,6 @@
     MEMBER_DISCOVERY_S,
     PEER_EXPIRY_S,
     Peers,
-    Rotation,
 )
 from cranberryhold.flows.rendezvous import rendezvous_order
 from cranberryhold.flows.target_state import NO_TARGET, UNKNOWN_SERVICE
--- a/tests/test_rotation_guard.py
+++ b/tests/test_rotation_guard.py
@@ -11,7 +11,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from cranberryhold.flows.peers import Rotation
+from cranberryhold.flows.peer_records import Rotation
 from cranberryhold.flows.rotation_guard import (
     LEAVE_AFTER_S,
     LEAVE_JITTER_S,
--- a/tests/test_upload_burst.py
+++ b/tests/test_upload_burst.py
@@ -13,7 +13,7 @@
 
 from cranberryhold.flows.bulk_shedding import BulkShedding
 from cranberryhold.flows.link_load import LinkLoad
-from cranberryhold.flows.peers import Rotation
+from cranberryhold.flows.peer_records import Rotation
 from cranberryhold.flows.rotation_guard import RotationGuard
 
 FAST_BYTES_S, SLOW_BYTES_S = 12.5e6, 0.625e6
