Read an exact list of members after each registration

The flow had been opened through one entry daemon; its next packet, 0.4 s after that one had ended, came through another, 14.6 s after all processes had started.

If the sidecar registers after the entry daemon has read, and its stale list does not contain the entry daemon yet, neither knows the other until the next list after 12 to 16 s, unless a third member tells them, by one datagram. The entry daemon counts its members as complete 5 s after its start, so its search omits the sidecar, finds no holder and resets the flow. The same can happen after an outage in which leases have expired.

Change: every member reads an exact list after each registration. Of two members that write before they read, one finds the other.

Evidence: test_members_that_register_at_the_same_time_find_each_other and test_members_that_register_again_find_each_other failed before.

A second exact list of entry daemons alone would leave the first seconds open.

test_only_the_first_list_of_an_entry_instance_is_exact demanded the stale list of sidecars, for its price. It is replaced by one for both roles: the list after a registration is exact, later ones are not. Price: nine tenths of a read for each start of a sidecar.

--- a/src/cranberryhold/flows/announcement.py
+++ b/src/cranberryhold/flows/announcement.py
@@ -67,10 +67,10 @@
         self._lease: int | None = None
         self._entry_written = False
         self._revision = 0
-        # An entry instance must know all members before it may reset a flow. A sidecar
-        # needs entry instances only, which contact it themselves if it missed one; an
-        # exact list costs ten times as much.
-        self._needs_exact_list = entry.role == "entry"
+        # Of two members that register at about the same time, at least one must find
+        # the other. This is certain only if both read an exact list after that; later
+        # lists may be stale, as an exact one costs ten times as much.
+        self._needs_exact_list = False
 
     async def run(self) -> None:
         """Write the entry, renew its lease and read the members, until cancelled."""
@@ -80,8 +80,8 @@
         while True:
             try:
                 await self._maintain_entry()
-                if loop.time() >= next_read_at:
-                    await self._read_members(is_first=not next_read_at)
+                if self._needs_exact_list or loop.time() >= next_read_at:
+                    await self._read_members()
                     next_read_at = loop.time() + MEMBERS_READ_INTERVAL_S
             except LeaseLostError:
                 self._telemetry.event("lease-lost", key=self._key, lease=self._lease)
@@ -124,17 +124,19 @@
             )
             self._revision = result.revision
             if result.applied:
+                self._needs_exact_list = True
                 self._telemetry.event(
                     "announced", key=self._key, revision=result.revision, lease=lease
                 )
                 return
 
-    async def _read_members(self, *, is_first: bool) -> None:
+    async def _read_members(self) -> None:
         items = await self._store.list_items(
-            MEMBERS_PREFIX, may_be_stale=not (is_first and self._needs_exact_list)
+            MEMBERS_PREFIX, may_be_stale=not self._needs_exact_list
         )
+        self._needs_exact_list = False
         own = next((item for item in items if item.key == self._key), None)
-        if not is_first and (own is None or own.value != self._value):
+        if own is None or own.value != self._value:
             # A stale list can lack the entry as well; the next write is then redundant
             # but harmless.
             self._telemetry.event("entry-missing", key=self._key)
--- a/tests/test_flow_store.py
+++ b/tests/test_flow_store.py
@@ -251,6 +251,17 @@
             )
 
 
+def serve_old_stale_lists(monkeypatch, store, key):
+    """Let the store answer stale reads with a state that has this item only."""
+    list_items = store.list_items
+
+    async def list_old_items(prefix, *, may_be_stale):
+        items = await list_items(prefix, may_be_stale=False)
+        return [i for i in items if i.key == key or not may_be_stale]
+
+    monkeypatch.setattr(store, "list_items", list_old_items)
+
+
 class TestAnnouncer:
     IP = inet_aton("10.0.1.1")
     OWN = MEMBERS_PREFIX + "10.0.1.1"
@@ -261,10 +272,10 @@
         monkeypatch.setattr(announcement, "MEMBERS_READ_INTERVAL_S", 0.2)
 
     @asynccontextmanager
-    async def announcing(self, store, role="sidecar"):
+    async def announcing(self, store, role="sidecar", ip=IP):
         updates, telemetry = [], create_telemetry()
         announcer = Announcer(
-            self.IP,
+            ip,
             MemberEntry(role, "a", 7),
             store,
             telemetry,
@@ -289,14 +300,40 @@
                 assert updates[0].entries == (inet_aton("10.0.0.1"),)
                 assert updates[0].sidecars == (self.IP,)
 
-    @pytest.mark.parametrize(
-        ("role", "first_may_be_stale"), [("entry", False), ("sidecar", True)]
-    )
-    async def test_only_the_first_list_of_an_entry_instance_is_exact(
-        self, monkeypatch, role, first_may_be_stale
+    async def test_members_that_register_at_the_same_time_find_each_other(
+        self, monkeypatch
     ):
-        # When hundreds of processes start at once, exact lists of several pages each
-        # are most of what the store is charged for.
+        # Guards against the reset of an open flow by an entry instance that does not
+        # know the sidecar of its target. The sidecar registers after the entry instance
+        # has read the members, and stale lists don't contain the latter yet.
+        entry_ip = inet_aton("10.0.0.1")
+        async with running_store() as (_stand_in, store):
+            serve_old_stale_lists(monkeypatch, store, self.OWN)
+            entry = self.announcing(store, "entry", entry_ip)
+            async with entry as (_, entry_updates, _telemetry):
+                await until(lambda: entry_updates)
+                assert entry_updates[0].sidecars == ()
+                async with self.announcing(store) as (_, updates, _telemetry):
+                    await until(lambda: updates)
+                    assert updates[0].entries == (entry_ip,)
+
+    async def test_members_that_register_again_find_each_other(self, monkeypatch):
+        # Guards against the same reset after an outage in which leases have expired: an
+        # entry instance starts and reads the members before the sidecar is back.
+        async with running_store() as (stand_in, store):
+            serve_old_stale_lists(monkeypatch, store, self.OWN)
+            async with self.announcing(store) as (_, updates, _telemetry):
+                await until(lambda: updates)
+                stand_in.expire_all_leases()
+                registered = {"role": "entry", "zone": "a", "process": 1}
+                await stand_in.put(
+                    MEMBERS_PREFIX + "10.0.0.1", json.dumps(registered).encode()
+                )
+                await until(lambda: self.OWN in stand_in.keys)
+                await until(lambda: any(update.entries for update in updates))
+
+    @pytest.mark.parametrize("role", ["entry", "sidecar"])
+    async def test_only_the_list_after_a_registration_is_exact(self, monkeypatch, role):
         async with running_store() as (_, store):
             accepted = []
             list_items = store.list_items
@@ -310,7 +347,7 @@
             monkeypatch.setattr(store, "list_items", record)
             async with self.announcing(store, role):
                 await until(lambda: len(accepted) >= 3)
-            assert accepted[:3] == [first_may_be_stale, first_may_be_stale, True]
+            assert accepted[:3] == [False, False, True]
 
     @pytest.mark.parametrize(
         ("key", "value"),
