Stop, kill and pause real processes of the QUIC path in a soak

Operators of similar systems report requests that a planned stop cut off, work of silent machines that was given up, and work that ran again, or was reported as not run, after an answer was lost. On the QUIC path, these were shown with simulated processes only.

The soak runs a small site as processes. Callers post lines, each under its own idempotency key, and follow a feed, while daemons are paused with SIGSTOP, stopped as a rollout does, killed and started again, and upstream instances break off their answers. It compares what each caller was told with the executions that the upstream instances count.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 export PYTHONPATH := src:.
 RUN := $(BIN)/python
 
-.PHONY: test check demo bench measure slopes soak soak-cases format install
+.PHONY: test check demo bench measure slopes soak soak-cases request-soak format install
 
 SEED ?= 1
 SEEDS ?= 1
@@ -45,6 +45,9 @@
 soak: install
 	$(RUN) -m tools.soak --seed $(SEED) --seeds $(SEEDS) --duration $(DURATION)
 
+request-soak: install
+	$(RUN) -m tools.request_soak --seed $(SEED) --seeds $(SEEDS) --duration $(DURATION)
+
 soak-cases: install
 	$(RUN) -m tools.soak --cases
 
--- a/tools/demo_site.py
+++ b/tools/demo_site.py
@@ -5,7 +5,7 @@
 import tempfile
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from pathlib import Path
 
 import aiohttp
@@ -46,6 +46,8 @@
 
     :param services: address of each service.
     :param control_addresses: control address of each running member, by name.
+    :param commands: arguments of the daemon of each member, by name.
+    :param entry_ips: address of each entry instance where it takes packets, by name.
     """
 
     processes: ProcessManager
@@ -55,7 +57,9 @@
     store_url: str
     services: dict[str, Address]
     control_addresses: dict[str, Address] = field(default_factory=dict)
+    commands: dict[str, tuple[str, ...]] = field(default_factory=dict)
     entries: dict[str, RunningProcess] = field(default_factory=dict)
+    entry_ips: dict[str, str] = field(default_factory=dict)
     targets: dict[str, Target] = field(default_factory=dict)
     fabric: RunningProcess | None = None
 
@@ -73,6 +77,31 @@
             environment=self.key_environment,
         )
 
+    async def restart_entry(self, name: str) -> None:
+        """Start the daemon of an entry instance again after it has ended."""
+        self.entries[name] = await self.start_daemon(name)
+        await self.entries[name].wait_for_output("event=node-started")
+
+    def withdraw_entry(self, name: str) -> None:
+        """Let the fabric send no more packets to an entry instance."""
+        self.fabric.write_line(f"remove {self.entry_ips[name]}")
+
+    def admit_entry(self, name: str) -> None:
+        """Let the fabric send packets to an entry instance."""
+        self.fabric.write_line(f"add {self.entry_ips[name]}")
+
+    async def restart_sidecar(self, name: str) -> None:
+        """Start the sidecar of a target again after it has ended."""
+        sidecar = await self.start_daemon(name)
+        self.targets[name] = replace(self.targets[name], sidecar=sidecar)
+        await sidecar.wait_for_output("event=node-started")
+
+    async def start_daemon(self, name: str) -> RunningProcess:
+        """Start the daemon of a member."""
+        return await self.processes.start(
+            name, _DAEMON, *self.commands[name], environment=self.key_environment
+        )
+
     async def apply(self, *services: str) -> RunningProcess:
         """Submit a manifest that declares these services."""
         path = self.directory / "manifest.yaml"
@@ -98,6 +127,15 @@
         ):
             response.raise_for_status()
 
+    async def upstream_behaviour(self, target: Target) -> dict[str, object]:
+        """Return the behaviour of a target's upstream, by field."""
+        async with (
+            aiohttp.ClientSession(f"http://{target.address}") as session,
+            session.get("/control") as response,
+        ):
+            response.raise_for_status()
+            return json.loads(await response.read())
+
     async def execution_counts(self) -> dict[str, int]:
         """Return how often each line was executed, over all upstreams."""
         counts: dict[str, int] = {}
@@ -194,16 +232,15 @@
         name = f"e{number + 1}"
         control, forward = free_addresses(2)
         site.control_addresses[name] = control
-        site.entries[name] = await site.processes.start(
-            name,
-            _DAEMON,
+        site.entry_ips[name] = ip
+        site.commands[name] = (
             "entry",
             *_node_options(site, name, control, ZONES[number]),
             *("--store-url", site.store_url),
             *("--forward-address", str(forward)),
             *("--listen-address", ip),
-            environment=site.key_environment,
         )
+        site.entries[name] = await site.start_daemon(name)
     for process in site.entries.values():
         await process.wait_for_output("event=node-started")
 
@@ -219,17 +256,15 @@
     await upstream.wait_for_output("event=listening")
     zone = ZONES[len(site.targets) % len(ZONES)]
     site.control_addresses[name] = control
-    sidecar = await site.processes.start(
-        f"sidecar of {name}",
-        _DAEMON,
+    site.commands[name] = (
         "sidecar",
         *_node_options(site, name, control, zone),
         *("--service", service, "--upstream", str(address)),
         *("--forward-address", str(forward)),
         *("--certificate", str(site.certificate_files.certificate)),
         *("--private-key", str(site.certificate_files.private_key)),
-        environment=site.key_environment,
     )
+    sidecar = await site.start_daemon(name)
     await sidecar.wait_for_output("event=node-started")
     site.targets[name] = Target(name, service, address, control, upstream, sidecar)
 
