Move the connection that passes requests into a module of its own

Change: the connection and the constant of its step stand in peer_connection.py. Its lines are the same, but for the name, which other modules use now, and the docstring.

Ruled out: a change of behaviour; the class differs from the old one in its name only.

--- a/src/cranberryhold/peer_requests.py
+++ b/src/cranberryhold/peer_requests.py
@@ -7,13 +7,12 @@
 
 import asyncio
 from collections.abc import AsyncIterator, Iterator
-from contextlib import asynccontextmanager, contextmanager, suppress
+from contextlib import asynccontextmanager, contextmanager
 
 import zmq
 import zmq.asyncio
 from loguru import logger
 from msgspec import DecodeError
-from zmq.utils.monitor import parse_monitor_message
 
 from cranberryhold.addresses import Address
 from cranberryhold.admission import Load
@@ -34,6 +33,7 @@
 from cranberryhold.exchange import Request, Response
 from cranberryhold.keys import KeyRing
 from cranberryhold.members import Member
+from cranberryhold.peer_connection import PeerConnection
 from cranberryhold.peer_pool import SlotReply
 from cranberryhold.peer_request_messages import (
     Cancel,
@@ -56,7 +56,6 @@
 _HEARTBEAT_INTERVAL_MS = 1000
 _HEARTBEAT_TIMEOUT_MS = 3000
 _PING_INTERVAL_S = 1.0
-_STEP = "pass request"
 
 
 def peer_request_address(control_address: Address) -> Address:
@@ -222,103 +221,6 @@
                 await self._send(peer_id, Ping())
 
 
-class _Connection:
-    """A connection to one peer, which carries many exchanges."""
-
-    def __init__(self, socket: zmq.asyncio.Socket, monitor, peer: str) -> None:
-        self.is_lost = False
-        self._peer = peer
-        self._socket = socket
-        self._monitor = monitor
-        self._channels: dict[int, Channel] = {}
-        self._last_number = 0
-        self._send_tasks: set[asyncio.Task[None]] = set()
-        self._readers = [
-            asyncio.create_task(self._read(), name="passing-reader"),
-            asyncio.create_task(self._watch_monitor(), name="passing-watch"),
-        ]
-
-    @contextmanager
-    def exchange(self) -> Iterator[Channel]:
-        """Open an exchange; on exit, cancel it at the peer if it has not ended."""
-        self._last_number += 1
-        channel = Channel(self._last_number, self.send)
-        self._channels[channel.number] = channel
-        try:
-            yield channel
-        finally:
-            del self._channels[channel.number]
-            if not channel.is_ended:
-                self.send_in_background(Cancel(channel.number))
-
-    async def send(self, message: Message) -> None:
-        """Send a message; messages are delivered in order.
-
-        :raises OutcomeUnknownError: if the connection has ended.
-        """
-        if self.is_lost:
-            raise self._lost_error()
-        try:
-            await self._socket.send(encode(message))
-        except zmq.ZMQError:
-            self._mark_lost()
-            raise self._lost_error() from None
-
-    def send_in_background(self, message: Message) -> None:
-        """Send a message in the background; it may be lost."""
-
-        async def send() -> None:
-            with suppress(OutcomeUnknownError):
-                await self.send(message)
-
-        task = asyncio.create_task(send())
-        self._send_tasks.add(task)
-        task.add_done_callback(self._send_tasks.discard)
-
-    def close(self) -> None:
-        """End all exchanges and the connection."""
-        self._mark_lost()
-        for task in (*self._readers, *self._send_tasks):
-            task.cancel()
-        self._socket.disable_monitor()
-        self._monitor.close(linger=0)
-        self._socket.close(linger=0)
-
-    async def _read(self) -> None:
-        while True:
-            try:
-                message = decode(await self._socket.recv())
-            except DecodeError as error:
-                # The message may have been part of any exchange, so none of them can
-                # be completed.
-                logger.warning(
-                    "event=passing-malformed peer={} error={!r}", self._peer, error
-                )
-                self._mark_lost()
-                return
-            channel = self._channels.get(getattr(message, "exchange", 0))
-            if channel is not None:
-                channel.deliver(message)
-
-    async def _watch_monitor(self) -> None:
-        while not self.is_lost:
-            frames = await self._monitor.recv_multipart()
-            if parse_monitor_message(frames)["event"] == zmq.EVENT_DISCONNECTED:
-                # Responses may still be in the socket's queue: read them first.
-                await asyncio.sleep(0.01)
-                self._mark_lost()
-
-    def _mark_lost(self) -> None:
-        self.is_lost = True
-        for channel in self._channels.values():
-            channel.deliver(self._lost_error())
-
-    def _lost_error(self) -> OutcomeUnknownError:
-        return OutcomeUnknownError(
-            "the connection to the peer ended", step=_STEP, peer=self._peer
-        )
-
-
 class PeerRequestClient:
     """Sends requests to the peers of a target over zmq; a ``PeerClient``.
 
@@ -330,7 +232,7 @@
         self._key_pairs = derive_key_pairs(keys)
         self._clock = clock
         self._context = zmq.asyncio.Context()
-        self._connections: dict[Address, asyncio.Task[_Connection]] = {}
+        self._connections: dict[Address, asyncio.Task[PeerConnection]] = {}
 
     async def __aenter__(self) -> "PeerRequestClient":
         return self
@@ -397,7 +299,7 @@
             finally:
                 sender.cancel()
 
-    async def _connect_to(self, peer: Member) -> _Connection:
+    async def _connect_to(self, peer: Member) -> PeerConnection:
         address = peer_request_address(peer.control_address)
         connect_task = self._connections.get(address)
         if (
@@ -414,7 +316,7 @@
         # Shielded: if this caller gives up first, the connection serves the next one.
         return await asyncio.shield(connect_task)
 
-    async def _connect(self, address: Address) -> _Connection:
+    async def _connect(self, address: Address) -> PeerConnection:
         for key_pair in self._key_pairs:
             socket = self._context.socket(zmq.DEALER)
             socket.set_hwm(0)
@@ -425,7 +327,7 @@
                 if await connect_client(
                     socket, monitor, key_pair, address, _HANDSHAKE_TIMEOUT_S
                 ):
-                    return _Connection(socket, monitor, str(address))
+                    return PeerConnection(socket, monitor, str(address))
             except BaseException:
                 _close(socket, monitor)
                 raise
@@ -456,7 +358,7 @@
     socket.heartbeat_ttl = _HEARTBEAT_TIMEOUT_MS
 
 
-def _has_ended(connect_task: "asyncio.Task[_Connection]") -> bool:
+def _has_ended(connect_task: "asyncio.Task[PeerConnection]") -> bool:
     return (
         connect_task.cancelled()
         or connect_task.exception() is not None
