Close the connections of the test servers of the HTTP client

Cause: the server of test_http_client.py left its handlers without closing their writers, so that a writer was collected after its event loop had ended. The warning then appeared at any later test of the same worker, lately at test_error_names_a_stopped_member.

Change: the handler closes its writer. The checks are the same.

Ruled out: a leak in the package. With a collection after each test, only the four tests of this file gave the warning; the files that run daemons, proxies or servers gave none, each run on its own.

Measured: tests/test_http_client.py with the warning as an error and a collection after each test: 2 passed and 2 errors before, 4 passed after.

--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator, Callable
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, closing, suppress
 
 import pytest
 
@@ -29,13 +29,11 @@
     async def serve(reader, writer):
         number = len(requests)
         requests.append(0)
-        while True:
-            try:
+        with closing(writer), suppress(asyncio.IncompleteReadError, ConnectionError):
+            while True:
                 head = await reader.readuntil(b"\r\n\r\n")
-            except (asyncio.IncompleteReadError, ConnectionError):
-                return
-            requests[number] += 1
-            respond(writer, response(head.split()[1].decode()))
+                requests[number] += 1
+                respond(writer, response(head.split()[1].decode()))
 
     server = await asyncio.start_server(serve, LOOPBACK_IP, 0)
     address = Address(*server.sockets[0].getsockname())
