--- a/emulator/upstream.py
+++ b/emulator/upstream.py
@@ -19,7 +19,7 @@
 
 from cranberryhold.addresses import Address
 from cranberryhold.clock import Clock, SystemClock
-from cranberryhold.exchange import DEADLINE_HEADER
+from cranberryhold.requests.exchange import DEADLINE_HEADER
 from emulator.serving import serving_application
 
 _UPLOAD_CHUNK_BYTES = 64 * 1024
--- a/src/cranberryhold/call.py
+++ b/src/cranberryhold/call.py
@@ -18,8 +18,8 @@
     NotRunError,
     SettingsError,
 )
-from cranberryhold.exchange import IDEMPOTENCY_KEY_HEADER, Headers
 from cranberryhold.exit_codes import ExitCode, exit_code
+from cranberryhold.requests.exchange import IDEMPOTENCY_KEY_HEADER, Headers
 
 _CHUNK_BYTES = 64 * 1024
 
--- a/src/cranberryhold/caller.py
+++ b/src/cranberryhold/caller.py
@@ -26,7 +26,14 @@
     NotRunError,
     OutcomeUnknownError,
 )
-from cranberryhold.exchange import (
+from cranberryhold.feeds import Feed, resume_by_sequence
+from cranberryhold.h3_client import (
+    ClientConnection,
+    client_configuration,
+    open_connection,
+)
+from cranberryhold.manifest.models import RetryPolicy
+from cranberryhold.requests.exchange import (
     DEADLINE_HEADER,
     IDEMPOTENCY_KEY_HEADER,
     IDEMPOTENCY_KEY_PATH,
@@ -38,13 +45,6 @@
     bytes_body,
     first_header,
 )
-from cranberryhold.feeds import Feed, resume_by_sequence
-from cranberryhold.h3_client import (
-    ClientConnection,
-    client_configuration,
-    open_connection,
-)
-from cranberryhold.manifest import RetryPolicy
 from cranberryhold.retries import RetryBudget, backoff, may_retry
 
 DEFAULT_DEADLINE_S = 10.0
--- a/src/cranberryhold/cli.py
+++ b/src/cranberryhold/cli.py
@@ -12,7 +12,7 @@
 from cranberryhold.exceptions import CranberryholdError
 from cranberryhold.exit_codes import EXIT_CODES_HELP, ExitCode, exit_code
 from cranberryhold.logs import log_event, setup_logs
-from cranberryhold.manifest_commands import (
+from cranberryhold.manifest.commands import (
     APPLY_OPTIONS,
     SHOW_OPTIONS,
     STATUS_OPTIONS,
--- a/src/cranberryhold/daemon.py
+++ b/src/cranberryhold/daemon.py
@@ -9,28 +9,37 @@
 
 from cranberryhold.addresses import Address
 from cranberryhold.background_tasks import running_tasks
-from cranberryhold.connection_ids import TargetRef
 from cranberryhold.consul import ConsulStore
+from cranberryhold.datapath.connection_ids import TargetRef
+from cranberryhold.datapath.placement import slow_start_schedule, slow_start_weight
 from cranberryhold.dump import DumpRequest, StateGetter, dump_handler, dump_on_signal
 from cranberryhold.entry import EntryInstance
 from cranberryhold.exceptions import ManifestError
-from cranberryhold.load_reports import LoadReporter
 from cranberryhold.logs import log_event
-from cranberryhold.manifest import AcceptedManifest, DrainPolicy, Service, service_id
-from cranberryhold.members import Role
+from cranberryhold.manifest.models import (
+    AcceptedManifest,
+    DrainPolicy,
+    Service,
+    service_id,
+)
+from cranberryhold.membership.members import Role
 from cranberryhold.metrics import sending_metrics
 from cranberryhold.node import Node, running_node
-from cranberryhold.peer_pool import PeerPool
-from cranberryhold.peer_requests import (
+from cranberryhold.requests.load_reports import LoadReporter
+from cranberryhold.requests.peer_pool import PeerPool
+from cranberryhold.requests.peer_requests import (
     PeerRequestClient,
     PeerRequestServer,
     peer_request_address,
 )
-from cranberryhold.pipeline import RequestPipeline
-from cranberryhold.placement import slow_start_schedule, slow_start_weight
+from cranberryhold.requests.pipeline import RequestPipeline
+from cranberryhold.requests.upstream import (
+    UpstreamMonitor,
+    UpstreamState,
+    open_upstream,
+)
 from cranberryhold.settings import EntrySettings, NodeSettings, SidecarSettings
 from cranberryhold.sidecar import Sidecar, quic_configuration
-from cranberryhold.upstream import UpstreamMonitor, UpstreamState, open_upstream
 
 # Seconds for which an entry instance keeps forwarding after it has announced that it
 # leaves, since the fabric still sends it packets for a while.
--- /dev/null
+++ b/src/cranberryhold/datapath/__init__.py
@@ -0,0 +1,1 @@
+"""Packets of the QUIC path: connection ids, routing, placement and the adapter."""
--- a/src/cranberryhold/packets.py
+++ b/src/cranberryhold/datapath/packets.py
@@ -13,7 +13,7 @@
 from cryptography.hazmat.primitives.ciphers.modes import ECB
 
 from cranberryhold.addresses import Address
-from cranberryhold.connection_ids import CONNECTION_ID_BYTES
+from cranberryhold.datapath.connection_ids import CONNECTION_ID_BYTES
 from cranberryhold.keys import KeyRing
 
 MINIMUM_INITIAL_BYTES = 1200
--- a/src/cranberryhold/placement.py
+++ b/src/cranberryhold/datapath/placement.py
@@ -8,7 +8,7 @@
 from collections.abc import Iterable, Sequence
 from hashlib import blake2b
 
-from cranberryhold.members import FULL_WEIGHT
+from cranberryhold.membership.members import FULL_WEIGHT
 
 # There are few sizes, so that a join rarely changes the size, which would move most
 # keys. The smallest is 4,093: a join to seven targets moves 13.4% of the keys there,
--- a/src/cranberryhold/quic.py
+++ b/src/cranberryhold/datapath/quic.py
@@ -21,12 +21,12 @@
     pull_quic_header,
 )
 
-from cranberryhold.connection_ids import (
+from cranberryhold.datapath.connection_ids import (
     CONNECTION_ID_BYTES,
     ConnectionIdCodec,
     TargetRef,
 )
-from cranberryhold.packets import is_first_packet
+from cranberryhold.datapath.packets import is_first_packet
 
 STATELESS_RESET_TOKEN_BYTES = 16
 MAX_ACTIVE_CONNECTION_IDS = 8
--- a/src/cranberryhold/return_paths.py
+++ b/src/cranberryhold/datapath/return_paths.py
@@ -6,7 +6,7 @@
 
 from cranberryhold.addresses import Address
 from cranberryhold.clock import Clock
-from cranberryhold.members import Member, MemberState, MemberTable
+from cranberryhold.membership.members import Member, MemberState, MemberTable
 
 # After this long without a packet, the entry instance may have failed without being
 # detected yet. The acknowledgements of an active flow are far more frequent.
--- a/src/cranberryhold/routing.py
+++ b/src/cranberryhold/datapath/routing.py
@@ -7,10 +7,10 @@
 
 from enum import Enum
 
-from cranberryhold.connection_ids import CONNECTION_ID_BYTES, ConnectionIdCodec
+from cranberryhold.datapath.connection_ids import CONNECTION_ID_BYTES, ConnectionIdCodec
+from cranberryhold.datapath.packets import is_first_packet, read_connection_id
+from cranberryhold.datapath.targets import ServiceTargets, TargetTables
 from cranberryhold.keys import KeyRing
-from cranberryhold.packets import is_first_packet, read_connection_id
-from cranberryhold.targets import ServiceTargets, TargetTables
 
 # The usual Ethernet MTU, which bounds QUIC packets as they are not fragmented.
 MAXIMUM_PACKET_BYTES = 1500
--- a/src/cranberryhold/targets.py
+++ b/src/cranberryhold/datapath/targets.py
@@ -7,9 +7,14 @@
 
 from cranberryhold.addresses import Address
 from cranberryhold.clock import Clock, SystemClock
-from cranberryhold.manifest import service_id
-from cranberryhold.members import Member, MemberChange, MemberState, MemberTable
-from cranberryhold.placement import MaglevTable
+from cranberryhold.datapath.placement import MaglevTable
+from cranberryhold.manifest.models import service_id
+from cranberryhold.membership.members import (
+    Member,
+    MemberChange,
+    MemberState,
+    MemberTable,
+)
 
 GUARD_WINDOW_S = 10.0
 # Changes that arrive together, such as the records of a zone, cause one rebuild.
--- a/src/cranberryhold/distribution/distributor.py
+++ b/src/cranberryhold/distribution/distributor.py
@@ -7,7 +7,9 @@
 from loguru import logger
 
 from cranberryhold.addresses import Address
-from cranberryhold.deltas import (
+from cranberryhold.distribution.state import ManifestState
+from cranberryhold.exceptions import ManifestError, PeerError
+from cranberryhold.manifest.deltas import (
     apply_delta,
     build_delta,
     decode_delta,
@@ -15,12 +17,10 @@
     manifest_digest,
     service_digests,
 )
-from cranberryhold.distribution.state import ManifestState
-from cranberryhold.exceptions import ManifestError, PeerError
-from cranberryhold.links import RpcClient
-from cranberryhold.manifest import AcceptedManifest
-from cranberryhold.membership import Membership
-from cranberryhold.messages import (
+from cranberryhold.manifest.models import AcceptedManifest
+from cranberryhold.membership.links import RpcClient
+from cranberryhold.membership.membership import Membership
+from cranberryhold.membership.messages import (
     Announcement,
     Heartbeat,
     ManifestDelta,
--- a/src/cranberryhold/distribution/reader.py
+++ b/src/cranberryhold/distribution/reader.py
@@ -11,8 +11,8 @@
 from cranberryhold.distribution.missed_changes import MissedChangeDetector
 from cranberryhold.distribution.state import ManifestState
 from cranberryhold.exceptions import ManifestError, StoreError
-from cranberryhold.manifest import MANIFEST_KEY, AcceptedManifest
-from cranberryhold.members import Member, MemberChange, MemberTable, Role
+from cranberryhold.manifest.models import MANIFEST_KEY, AcceptedManifest
+from cranberryhold.membership.members import Member, MemberChange, MemberTable, Role
 from cranberryhold.pacing import Backoff
 from cranberryhold.store import Store, VersionedValue
 
--- a/src/cranberryhold/distribution/state.py
+++ b/src/cranberryhold/distribution/state.py
@@ -6,9 +6,9 @@
 from reactivex.subject import ReplaySubject
 
 from cranberryhold.clock import Clock
-from cranberryhold.deltas import manifest_digest, service_digests
 from cranberryhold.exceptions import ManifestError
-from cranberryhold.manifest import AcceptedManifest
+from cranberryhold.manifest.deltas import manifest_digest, service_digests
+from cranberryhold.manifest.models import AcceptedManifest
 
 
 class ManifestState:
--- a/src/cranberryhold/distribution/status_query.py
+++ b/src/cranberryhold/distribution/status_query.py
@@ -5,8 +5,13 @@
 from cranberryhold.addresses import Address
 from cranberryhold.exceptions import PeerError
 from cranberryhold.keys import KeyRing
-from cranberryhold.links import Link, UdpLink
-from cranberryhold.messages import Status, StatusRequest, decode_datagram, encode
+from cranberryhold.membership.links import Link, UdpLink
+from cranberryhold.membership.messages import (
+    Status,
+    StatusRequest,
+    decode_datagram,
+    encode,
+)
 
 
 async def query_status(
--- a/src/cranberryhold/dump.py
+++ b/src/cranberryhold/dump.py
@@ -7,11 +7,11 @@
 from contextlib import contextmanager
 
 from cranberryhold.addresses import Address
-from cranberryhold.control import ControlClient
 from cranberryhold.exceptions import PeerError
 from cranberryhold.keys import KeyRing
 from cranberryhold.logs import log_event
-from cranberryhold.messages import ControlMessage
+from cranberryhold.membership.control import ControlClient
+from cranberryhold.membership.messages import ControlMessage
 
 StateGetter = Callable[[], Mapping[str, object]]
 
--- a/src/cranberryhold/entry.py
+++ b/src/cranberryhold/entry.py
@@ -11,14 +11,14 @@
 
 from cranberryhold.addresses import Address
 from cranberryhold.clock import Clock, SystemClock
+from cranberryhold.datapath.packets import FORWARD_HEADER_BYTES, Direction, ForwardCodec
+from cranberryhold.datapath.routing import MAXIMUM_PACKET_BYTES, DropReason, Router
+from cranberryhold.datapath.targets import ServiceTargets, TargetTables
 from cranberryhold.exceptions import ManifestError
 from cranberryhold.keys import KeyRing
-from cranberryhold.manifest import AcceptedManifest
-from cranberryhold.members import MemberTable
-from cranberryhold.packets import FORWARD_HEADER_BYTES, Direction, ForwardCodec
-from cranberryhold.routing import MAXIMUM_PACKET_BYTES, DropReason, Router
+from cranberryhold.manifest.models import AcceptedManifest
+from cranberryhold.membership.members import MemberTable
 from cranberryhold.settings import EntrySettings
-from cranberryhold.targets import ServiceTargets, TargetTables
 
 # Packets read per readiness event: enough to amortize the cost of the event loop,
 # few enough that control tasks are delayed by less than one or two milliseconds.
--- a/src/cranberryhold/feeds.py
+++ b/src/cranberryhold/feeds.py
@@ -14,9 +14,9 @@
     NotRunError,
     OutcomeUnknownError,
 )
-from cranberryhold.exchange import Headers, Request, Response
 from cranberryhold.h3_client import ClientConnection
-from cranberryhold.manifest import RetryPolicy
+from cranberryhold.manifest.models import RetryPolicy
+from cranberryhold.requests.exchange import Headers, Request, Response
 from cranberryhold.retries import backoff
 
 # Delay before the next attempt after a failed move; the old stream stays in use.
--- a/src/cranberryhold/h3_client.py
+++ b/src/cranberryhold/h3_client.py
@@ -37,7 +37,7 @@
     NotRunError,
     OutcomeUnknownError,
 )
-from cranberryhold.exchange import Headers, Request, Response
+from cranberryhold.requests.exchange import Headers, Request, Response
 
 CONNECT_TIMEOUT_S = 5.0
 # A connection with open requests on which nothing arrives for this long counts as
--- /dev/null
+++ b/src/cranberryhold/manifest/__init__.py
@@ -0,0 +1,1 @@
+"""The manifest: models, text format, submission and differences."""
--- a/src/cranberryhold/apply.py
+++ b/src/cranberryhold/manifest/apply.py
@@ -13,7 +13,7 @@
     StoreError,
     StoreOutcomeUnknownError,
 )
-from cranberryhold.manifest import (
+from cranberryhold.manifest.models import (
     MANIFEST_KEY,
     AcceptedManifest,
     Manifest,
--- a/src/cranberryhold/manifest_commands.py
+++ b/src/cranberryhold/manifest/commands.py
@@ -13,7 +13,6 @@
 from expression import Result
 
 from cranberryhold.addresses import Address
-from cranberryhold.apply import apply_manifest, read_accepted_manifest
 from cranberryhold.consul import ConsulStore
 from cranberryhold.exceptions import (
     CranberryholdError,
@@ -21,11 +20,12 @@
     StoreOutcomeUnknownError,
 )
 from cranberryhold.exit_codes import ExitCode
-from cranberryhold.fleet import ensure_fleet_not_ahead, query_fleet
 from cranberryhold.logs import format_logfmt
-from cranberryhold.manifest import AcceptedManifest, Manifest
-from cranberryhold.manifest_text import format_errors, load_manifest, manifest_schema
-from cranberryhold.messages import Status
+from cranberryhold.manifest.apply import apply_manifest, read_accepted_manifest
+from cranberryhold.manifest.models import AcceptedManifest, Manifest
+from cranberryhold.manifest.text import format_errors, load_manifest, manifest_schema
+from cranberryhold.membership.fleet import ensure_fleet_not_ahead, query_fleet
+from cranberryhold.membership.messages import Status
 from cranberryhold.options import Option
 from cranberryhold.settings import (
     KEYS,
--- a/src/cranberryhold/deltas.py
+++ b/src/cranberryhold/manifest/deltas.py
@@ -9,14 +9,14 @@
 from pydantic import TypeAdapter, ValidationError
 
 from cranberryhold.exceptions import ManifestError
-from cranberryhold.manifest import (
+from cranberryhold.manifest.models import (
     AcceptedManifest,
     Manifest,
     ReleasedAddress,
     Service,
     service_digest,
 )
-from cranberryhold.messages import ManifestDelta, encode
+from cranberryhold.membership.messages import ManifestDelta, encode
 
 MAX_JSON_BYTES = 4 << 20
 """Limit of decompressed JSON; the store holds values up to 1 MB."""
--- a/src/cranberryhold/manifest_text.py
+++ b/src/cranberryhold/manifest/text.py
@@ -8,7 +8,7 @@
 from pydantic_core import ErrorDetails
 
 from cranberryhold.exceptions import ManifestError
-from cranberryhold.manifest import Manifest
+from cranberryhold.manifest.models import Manifest
 
 _KeyPath = tuple[str | int, ...]
 
--- a/src/cranberryhold/control.py
+++ b/src/cranberryhold/membership/control.py
@@ -1,7 +1,7 @@
 """Remote calls between members, over ZeroMQ ROUTER and DEALER sockets with CURVE.
 
 A server accepts only clients that hold the key pair it listens with; see
-:mod:`cranberryhold.curve`.
+:mod:`cranberryhold.membership.curve`.
 """
 
 import asyncio
@@ -15,7 +15,9 @@
 
 from cranberryhold.addresses import Address
 from cranberryhold.background_tasks import TaskSet
-from cranberryhold.curve import (
+from cranberryhold.exceptions import CranberryholdError, PeerError
+from cranberryhold.keys import KeyRing
+from cranberryhold.membership.curve import (
     CurveKeyPair,
     bind_server,
     connect_client,
@@ -23,9 +25,12 @@
     derive_key_pair,
     derive_key_pairs,
 )
-from cranberryhold.exceptions import CranberryholdError, PeerError
-from cranberryhold.keys import KeyRing
-from cranberryhold.messages import ControlMessage, Failure, decode_call, encode_call
+from cranberryhold.membership.messages import (
+    ControlMessage,
+    Failure,
+    decode_call,
+    encode_call,
+)
 
 Handler = Callable[[ControlMessage], Awaitable[ControlMessage]]
 
--- a/src/cranberryhold/fleet.py
+++ b/src/cranberryhold/membership/fleet.py
@@ -3,13 +3,13 @@
 from collections.abc import Iterable
 
 from cranberryhold.addresses import Address
-from cranberryhold.control import ControlClient
 from cranberryhold.distribution import query_status
 from cranberryhold.exceptions import ConflictError, PeerError
-from cranberryhold.gossip import BUCKETS
 from cranberryhold.keys import KeyRing
-from cranberryhold.members import Member, MemberState
-from cranberryhold.messages import Records, RecordsRequest, Status
+from cranberryhold.membership.control import ControlClient
+from cranberryhold.membership.gossip import BUCKETS
+from cranberryhold.membership.members import Member, MemberState
+from cranberryhold.membership.messages import Records, RecordsRequest, Status
 
 # The answers to a larger batch would overflow the socket's receive buffer.
 QUERY_BATCH_SIZE = 200
--- a/src/cranberryhold/gossip.py
+++ b/src/cranberryhold/membership/gossip.py
@@ -13,8 +13,13 @@
 
 from cranberryhold.addresses import Address
 from cranberryhold.clock import Clock
-from cranberryhold.members import Member, MemberChange, MemberState, MemberTable
-from cranberryhold.messages import (
+from cranberryhold.membership.members import (
+    Member,
+    MemberChange,
+    MemberState,
+    MemberTable,
+)
+from cranberryhold.membership.messages import (
     MAX_PAYLOAD_BYTES,
     BucketDigests,
     Exchange,
@@ -23,7 +28,7 @@
 )
 
 if TYPE_CHECKING:
-    from cranberryhold.membership import Membership
+    from cranberryhold.membership.membership import Membership
 
 MAX_BYTES_PER_SECOND = 13_000
 """Limit of control traffic that a member sends, from the requirements."""
--- a/src/cranberryhold/links.py
+++ b/src/cranberryhold/membership/links.py
@@ -7,7 +7,7 @@
 from cranberryhold.addresses import Address
 from cranberryhold.exceptions import PeerError, SealError
 from cranberryhold.keys import KeyRing
-from cranberryhold.messages import (
+from cranberryhold.membership.messages import (
     MAX_DATAGRAM_BYTES,
     SEAL_BYTES,
     ControlMessage,
--- a/src/cranberryhold/membership.py
+++ b/src/cranberryhold/membership/membership.py
@@ -1,7 +1,8 @@
 """Cluster membership: the own record of a process, and its view of the others.
 
 Failure detection follows SWIM with the local health of Lifeguard; see
-:mod:`cranberryhold.probing` for the probes and :mod:`cranberryhold.gossip` for the
+:mod:`cranberryhold.membership.probing` for the probes and
+:mod:`cranberryhold.membership.gossip` for the
 dissemination of updates. The clock, the random generator, the link and the RPC client
 are arguments, so that the same code runs in a daemon and in virtual time.
 """
@@ -19,10 +20,15 @@
 from cranberryhold.background_tasks import running_tasks
 from cranberryhold.clock import Clock
 from cranberryhold.exceptions import PeerError
-from cranberryhold.gossip import BUCKETS, AntiEntropy, ByteBudget, UpdateQueue
-from cranberryhold.links import OVERHEAD_BYTES, Link, RpcClient
-from cranberryhold.members import LivePeers, Member, MemberState, MemberTable
-from cranberryhold.messages import (
+from cranberryhold.membership.gossip import (
+    BUCKETS,
+    AntiEntropy,
+    ByteBudget,
+    UpdateQueue,
+)
+from cranberryhold.membership.links import OVERHEAD_BYTES, Link, RpcClient
+from cranberryhold.membership.members import LivePeers, Member, MemberState, MemberTable
+from cranberryhold.membership.messages import (
     MAX_PAYLOAD_BYTES,
     Datagram,
     Gossip,
@@ -37,7 +43,7 @@
     encoded_record,
     record_of,
 )
-from cranberryhold.probing import Prober
+from cranberryhold.membership.probing import Prober
 
 FANOUT = 4
 """Members to which an update is gossiped at once. Four reach 98% of a cluster; probes
@@ -84,7 +90,7 @@
 
 
 class Membership:
-    """Keeps a :class:`~cranberryhold.members.MemberTable` up to date.
+    """Keeps a :class:`~cranberryhold.membership.members.MemberTable` up to date.
 
     >>> membership = Membership(member, link, clock=clock, rng=rng)    # doctest: +SKIP
     >>> async with membership.running():    # doctest: +SKIP
--- a/src/cranberryhold/messages.py
+++ b/src/cranberryhold/membership/messages.py
@@ -12,7 +12,7 @@
 
 from cranberryhold.addresses import Address
 from cranberryhold.exceptions import PeerError
-from cranberryhold.members import Member, MemberState, Role
+from cranberryhold.membership.members import Member, MemberState, Role
 
 MAX_DATAGRAM_BYTES = 1400
 """Upper limit of a sealed datagram: fits an Ethernet frame with tunnel headers."""
@@ -22,7 +22,7 @@
 
 
 class Record(Struct, array_like=True, frozen=True, gc=False):
-    """Wire form of a :class:`~cranberryhold.members.Member`."""
+    """Wire form of a :class:`~cranberryhold.membership.members.Member`."""
 
     node_id: str
     role: int
--- a/src/cranberryhold/probing.py
+++ b/src/cranberryhold/membership/probing.py
@@ -9,8 +9,8 @@
 
 from cranberryhold.addresses import PACKED_ADDRESS_BYTES, Address
 from cranberryhold.background_tasks import TaskSet
-from cranberryhold.members import Member, MemberState
-from cranberryhold.messages import (
+from cranberryhold.membership.members import Member, MemberState
+from cranberryhold.membership.messages import (
     Ack,
     Gossip,
     Nack,
@@ -20,7 +20,7 @@
 )
 
 if TYPE_CHECKING:
-    from cranberryhold.membership import Membership
+    from cranberryhold.membership.membership import Membership
 
 PROBE_INTERVAL_S = 1.0
 DIRECT_TIMEOUT_S = 0.3
--- a/src/cranberryhold/node.py
+++ b/src/cranberryhold/node.py
@@ -10,17 +10,17 @@
 from cranberryhold.addresses import Address
 from cranberryhold.background_tasks import running_tasks
 from cranberryhold.clock import Clock, SystemClock
-from cranberryhold.control import ControlClient, ControlServer
 from cranberryhold.distribution import (
     ManifestDistributor,
     ManifestReader,
     ManifestState,
 )
 from cranberryhold.exceptions import PeerError
-from cranberryhold.links import UdpLink
-from cranberryhold.members import Member, MemberTable, Role, incarnation_at
-from cranberryhold.membership import Membership
-from cranberryhold.messages import ManifestRequest, RecordsRequest
+from cranberryhold.membership.control import ControlClient, ControlServer
+from cranberryhold.membership.links import UdpLink
+from cranberryhold.membership.members import Member, MemberTable, Role, incarnation_at
+from cranberryhold.membership.membership import Membership
+from cranberryhold.membership.messages import ManifestRequest, RecordsRequest
 from cranberryhold.settings import NodeSettings
 from cranberryhold.store import Store
 
--- /dev/null
+++ b/src/cranberryhold/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Requests at the sidecar of a target: admission, processing, peers, upstream."""
--- a/src/cranberryhold/admission.py
+++ b/src/cranberryhold/requests/admission.py
@@ -14,7 +14,7 @@
 
 from cranberryhold.clock import Clock
 from cranberryhold.exceptions import NotRunError
-from cranberryhold.manifest import ClassKind, RequestClass
+from cranberryhold.manifest.models import ClassKind, RequestClass
 
 OFFER_LIFETIME_S = 0.2
 _STEP = "admit"
--- a/src/cranberryhold/h3_server.py
+++ b/src/cranberryhold/requests/h3_server.py
@@ -15,7 +15,14 @@
     StreamReset,
 )
 
-from cranberryhold.exchange import (
+from cranberryhold.datapath.quic import (
+    MAX_VARINT_STREAM_ID,
+    is_acknowledged,
+    send_goaway,
+    unacknowledged_bytes,
+)
+from cranberryhold.logs import log_event
+from cranberryhold.requests.exchange import (
     Handler,
     Headers,
     Outcome,
@@ -23,13 +30,6 @@
     Response,
     error_response,
 )
-from cranberryhold.logs import log_event
-from cranberryhold.quic import (
-    MAX_VARINT_STREAM_ID,
-    is_acknowledged,
-    send_goaway,
-    unacknowledged_bytes,
-)
 
 SEND_BUFFER_BYTES = 256 * 1024
 # A caller's request streams are numbered 0, 4, 8 and so on (RFC 9000, section 2.1).
--- a/src/cranberryhold/idempotency.py
+++ b/src/cranberryhold/requests/idempotency.py
@@ -17,10 +17,10 @@
 
 from cranberryhold.addresses import Address
 from cranberryhold.clock import Clock
-from cranberryhold.connection_ids import TargetRef
+from cranberryhold.datapath.connection_ids import TargetRef
 from cranberryhold.exceptions import NotRunError, OutcomeUnknownError, SealError
-from cranberryhold.exchange import Headers
 from cranberryhold.keys import KeyRing
+from cranberryhold.requests.exchange import Headers
 
 KEY_LIFETIME_S = 3600.0
 MAX_RECORDS = 50_000
--- a/src/cranberryhold/idempotent_execution.py
+++ b/src/cranberryhold/requests/idempotent_execution.py
@@ -7,7 +7,6 @@
 from collections.abc import AsyncIterator, Callable
 from contextlib import AbstractAsyncContextManager, asynccontextmanager
 
-from cranberryhold.bodies import RequestBody, seconds_left
 from cranberryhold.clock import Clock
 from cranberryhold.exceptions import (
     CranberryholdError,
@@ -15,13 +14,14 @@
     NotRunError,
     OutcomeUnknownError,
 )
-from cranberryhold.exchange import (
+from cranberryhold.requests.bodies import RequestBody, seconds_left
+from cranberryhold.requests.exchange import (
     Headers,
     Request,
     Response,
     bytes_body,
 )
-from cranberryhold.idempotency import (
+from cranberryhold.requests.idempotency import (
     MAX_STORED_RESPONSE_BYTES,
     IdempotencyKey,
     Record,
--- a/src/cranberryhold/load_reports.py
+++ b/src/cranberryhold/requests/load_reports.py
@@ -10,11 +10,11 @@
 from random import Random
 
 from cranberryhold.addresses import Address
-from cranberryhold.admission import Load
 from cranberryhold.clock import Clock
-from cranberryhold.members import Member, MemberState
-from cranberryhold.membership import Membership
-from cranberryhold.messages import Datagram, ServiceLoad
+from cranberryhold.membership.members import Member, MemberState
+from cranberryhold.membership.membership import Membership
+from cranberryhold.membership.messages import Datagram, ServiceLoad
+from cranberryhold.requests.admission import Load
 
 REPORT_INTERVAL_S = 2.0
 # Bounds the cost in a service with many targets; on average, each target also
--- a/src/cranberryhold/peer_connection.py
+++ b/src/cranberryhold/requests/peer_connection.py
@@ -11,7 +11,7 @@
 from zmq.utils.monitor import parse_monitor_message
 
 from cranberryhold.exceptions import OutcomeUnknownError
-from cranberryhold.peer_request_messages import (
+from cranberryhold.requests.peer_request_messages import (
     Cancel,
     Channel,
     Message,
--- a/src/cranberryhold/peer_pool.py
+++ b/src/cranberryhold/requests/peer_pool.py
@@ -12,12 +12,12 @@
 from random import Random
 from typing import Protocol
 
-from cranberryhold.admission import Load
 from cranberryhold.clock import Clock
-from cranberryhold.connection_ids import TargetRef
+from cranberryhold.datapath.connection_ids import TargetRef
 from cranberryhold.exceptions import PeerError
-from cranberryhold.exchange import Request, Response
-from cranberryhold.members import Member, MemberState
+from cranberryhold.membership.members import Member, MemberState
+from cranberryhold.requests.admission import Load
+from cranberryhold.requests.exchange import Request, Response
 
 SLOT_REQUEST_TIMEOUT_S = 0.1
 # Assumed for a peer without a recent report.
--- a/src/cranberryhold/peer_request_messages.py
+++ b/src/cranberryhold/requests/peer_request_messages.py
@@ -11,7 +11,7 @@
 from msgspec.msgpack import Decoder, Encoder
 
 from cranberryhold.exceptions import OutcomeUnknownError
-from cranberryhold.exchange import Headers
+from cranberryhold.requests.exchange import Headers
 
 WINDOW_BYTES = 256 * 1024
 CHUNK_BYTES = 64 * 1024
--- a/src/cranberryhold/peer_requests.py
+++ b/src/cranberryhold/requests/peer_requests.py
@@ -15,27 +15,27 @@
 from msgspec import DecodeError
 
 from cranberryhold.addresses import Address
-from cranberryhold.admission import Load
-from cranberryhold.bodies import seconds_left
 from cranberryhold.clock import Clock
-from cranberryhold.curve import (
-    bind_server,
-    connect_client,
-    curve_authentication,
-    derive_key_pair,
-    derive_key_pairs,
-)
 from cranberryhold.exceptions import (
     CranberryholdError,
     OutcomeUnknownError,
     PeerError,
 )
-from cranberryhold.exchange import Request, Response
 from cranberryhold.keys import KeyRing
-from cranberryhold.members import Member
-from cranberryhold.peer_connection import PeerConnection
-from cranberryhold.peer_pool import SlotReply
-from cranberryhold.peer_request_messages import (
+from cranberryhold.membership.curve import (
+    bind_server,
+    connect_client,
+    curve_authentication,
+    derive_key_pair,
+    derive_key_pairs,
+)
+from cranberryhold.membership.members import Member
+from cranberryhold.requests.admission import Load
+from cranberryhold.requests.bodies import seconds_left
+from cranberryhold.requests.exchange import Request, Response
+from cranberryhold.requests.peer_connection import PeerConnection
+from cranberryhold.requests.peer_pool import SlotReply
+from cranberryhold.requests.peer_request_messages import (
     Cancel,
     Channel,
     Failed,
@@ -49,7 +49,7 @@
     decode,
     encode,
 )
-from cranberryhold.pipeline import RequestPipeline
+from cranberryhold.requests.pipeline import RequestPipeline
 
 _CURVE_DOMAIN = "cranberryhold-passing"
 _HANDSHAKE_TIMEOUT_S = 1.0
--- a/src/cranberryhold/pipeline.py
+++ b/src/cranberryhold/requests/pipeline.py
@@ -6,10 +6,8 @@
 from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import replace
 
-from cranberryhold.admission import Admission, Lease, Load
-from cranberryhold.bodies import RequestBody, seconds_left, until_deadline
 from cranberryhold.clock import Clock
-from cranberryhold.connection_ids import TargetRef
+from cranberryhold.datapath.connection_ids import TargetRef
 from cranberryhold.exceptions import (
     BodyTooLargeError,
     DeadlinePassedError,
@@ -17,7 +15,11 @@
     OutcomeUnknownError,
     PeerError,
 )
-from cranberryhold.exchange import (
+from cranberryhold.keys import KeyRing
+from cranberryhold.manifest.models import ClassKind, RequestClass, Service
+from cranberryhold.requests.admission import Admission, Lease, Load
+from cranberryhold.requests.bodies import RequestBody, seconds_left, until_deadline
+from cranberryhold.requests.exchange import (
     DEADLINE_HEADER,
     IDEMPOTENCY_KEY_HEADER,
     IDEMPOTENCY_KEY_PATH,
@@ -29,11 +31,9 @@
     bytes_body,
     error_response,
 )
-from cranberryhold.idempotency import IdempotencyKey, KeyIssuer, RecordTable
-from cranberryhold.idempotent_execution import IdempotentExecutor
-from cranberryhold.keys import KeyRing
-from cranberryhold.manifest import ClassKind, RequestClass, Service
-from cranberryhold.peer_pool import Offer, PeerPool, SlotReply
+from cranberryhold.requests.idempotency import IdempotencyKey, KeyIssuer, RecordTable
+from cranberryhold.requests.idempotent_execution import IdempotentExecutor
+from cranberryhold.requests.peer_pool import Offer, PeerPool, SlotReply
 
 # A peer enforces the deadline itself; this allows its response time to arrive.
 _PEER_DEADLINE_MARGIN_S = 0.25
--- a/src/cranberryhold/upstream.py
+++ b/src/cranberryhold/requests/upstream.py
@@ -19,7 +19,7 @@
 from cranberryhold.addresses import Address
 from cranberryhold.client_middleware import send_once
 from cranberryhold.exceptions import NotRunError, OutcomeUnknownError
-from cranberryhold.exchange import (
+from cranberryhold.requests.exchange import (
     Headers,
     Request,
     Response,
--- a/src/cranberryhold/retries.py
+++ b/src/cranberryhold/retries.py
@@ -3,9 +3,9 @@
 from collections.abc import Iterable
 from random import Random
 
-from cranberryhold.exchange import Outcome
-from cranberryhold.manifest import RetryPolicy
+from cranberryhold.manifest.models import RetryPolicy
 from cranberryhold.pacing import TokenBucket, exponential_backoff_s
+from cranberryhold.requests.exchange import Outcome
 
 MAX_BACKOFF_S = 2.0
 _MAX_TOKENS = 10.0
--- a/src/cranberryhold/sidecar.py
+++ b/src/cranberryhold/sidecar.py
@@ -13,21 +13,21 @@
 
 from cranberryhold.addresses import Address
 from cranberryhold.clock import Clock
-from cranberryhold.connection_ids import ConnectionIdCodec, TargetRef
-from cranberryhold.exchange import Handler
-from cranberryhold.h3_server import H3ServerConnection
-from cranberryhold.keys import KeyRing
-from cranberryhold.manifest import Service
-from cranberryhold.members import Member, MemberTable
-from cranberryhold.packets import (
+from cranberryhold.datapath.connection_ids import ConnectionIdCodec, TargetRef
+from cranberryhold.datapath.packets import (
     Direction,
     ForwardCodec,
     is_first_packet,
     read_connection_id,
 )
-from cranberryhold.placement import should_pass_on
-from cranberryhold.quic import SidecarQuicServer
-from cranberryhold.return_paths import ReturnPaths
+from cranberryhold.datapath.placement import should_pass_on
+from cranberryhold.datapath.quic import SidecarQuicServer
+from cranberryhold.datapath.return_paths import ReturnPaths
+from cranberryhold.keys import KeyRing
+from cranberryhold.manifest.models import Service
+from cranberryhold.membership.members import Member, MemberTable
+from cranberryhold.requests.exchange import Handler
+from cranberryhold.requests.h3_server import H3ServerConnection
 
 IDLE_TIMEOUT_S = 60.0
 # Idle connections stay open this long after GOAWAY, so that a request of a caller
--- a/tests/baselines_requests.py
+++ b/tests/baselines_requests.py
@@ -8,8 +8,8 @@
 from random import Random
 from typing import Protocol
 
-from cranberryhold.exchange import Request
-from cranberryhold.manifest import ClassKind, RequestClass, RetryPolicy, Service
+from cranberryhold.manifest.models import ClassKind, RequestClass, RetryPolicy, Service
+from cranberryhold.requests.exchange import Request
 from cranberryhold.retries import RetryBudget, backoff
 from tests.pipeline_fakes import TargetGroup
 
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -2,8 +2,8 @@
 
 from cranberryhold.addresses import Address
 from cranberryhold.keys import KeyRing
-from cranberryhold.manifest import AcceptedManifest, Manifest, Service
-from cranberryhold.members import Member, Role
+from cranberryhold.manifest.models import AcceptedManifest, Manifest, Service
+from cranberryhold.membership.members import Member, Role
 
 RING = KeyRing({1: bytes(range(32))})
 
--- a/tests/pipeline_fakes.py
+++ b/tests/pipeline_fakes.py
@@ -7,14 +7,14 @@
 
 from cranberryhold.addresses import Address
 from cranberryhold.clock import SystemClock
-from cranberryhold.connection_ids import TargetRef
+from cranberryhold.datapath.connection_ids import TargetRef
 from cranberryhold.exceptions import OutcomeUnknownError, PeerError
-from cranberryhold.exchange import Request, Response, bytes_body
 from cranberryhold.keys import KeyRing
-from cranberryhold.manifest import ClassKind, RequestClass, Service
-from cranberryhold.members import Member, Role
-from cranberryhold.peer_pool import PeerPool, SlotReply
-from cranberryhold.pipeline import RequestPipeline
+from cranberryhold.manifest.models import ClassKind, RequestClass, Service
+from cranberryhold.membership.members import Member, Role
+from cranberryhold.requests.exchange import Request, Response, bytes_body
+from cranberryhold.requests.peer_pool import PeerPool, SlotReply
+from cranberryhold.requests.pipeline import RequestPipeline
 
 RING = KeyRing({1: bytes(range(32))})
 SHORT = RequestClass(name="short")
--- a/tests/scenario_context.py
+++ b/tests/scenario_context.py
@@ -5,8 +5,8 @@
 
 import looptime
 
-from cranberryhold.manifest import ClassKind, RequestClass, Service
-from cranberryhold.routing import DropReason
+from cranberryhold.datapath.routing import DropReason
+from cranberryhold.manifest.models import ClassKind, RequestClass, Service
 from tests.aioquic_client import Response
 from tests.simulation import SimulatedCaller, Simulation
 
--- a/tests/simulation.py
+++ b/tests/simulation.py
@@ -20,17 +20,17 @@
 
 from cranberryhold.addresses import Address
 from cranberryhold.clock import SystemClock
-from cranberryhold.connection_ids import TargetRef
-from cranberryhold.exchange import Request, Response
+from cranberryhold.datapath.connection_ids import TargetRef
+from cranberryhold.datapath.packets import Direction, ForwardCodec
+from cranberryhold.datapath.routing import DropReason, Router
+from cranberryhold.datapath.targets import TargetTables
 from cranberryhold.keys import KeyRing
-from cranberryhold.manifest import Service
-from cranberryhold.members import Member, MemberState, MemberTable, Role
-from cranberryhold.packets import Direction, ForwardCodec
-from cranberryhold.peer_pool import PeerPool
-from cranberryhold.pipeline import RequestPipeline
-from cranberryhold.routing import DropReason, Router
+from cranberryhold.manifest.models import Service
+from cranberryhold.membership.members import Member, MemberState, MemberTable, Role
+from cranberryhold.requests.exchange import Request, Response
+from cranberryhold.requests.peer_pool import PeerPool
+from cranberryhold.requests.pipeline import RequestPipeline
 from cranberryhold.sidecar import Sidecar, quic_configuration
-from cranberryhold.targets import TargetTables
 from tests.aioquic_client import AioquicClient
 from tests.pipeline_fakes import FakePeerNetwork
 from tests.waiting import until
--- a/tests/small_site.py
+++ b/tests/small_site.py
@@ -7,14 +7,14 @@
 
 from cranberryhold.addresses import Address
 from cranberryhold.clock import SystemClock
-from cranberryhold.connection_ids import TargetRef
+from cranberryhold.datapath.connection_ids import TargetRef
 from cranberryhold.entry import EntryInstance
-from cranberryhold.manifest import AcceptedManifest, Manifest, Service
-from cranberryhold.members import Member, MemberTable, Role
-from cranberryhold.pipeline import RequestPipeline
+from cranberryhold.manifest.models import AcceptedManifest, Manifest, Service
+from cranberryhold.membership.members import Member, MemberTable, Role
+from cranberryhold.requests.pipeline import RequestPipeline
+from cranberryhold.requests.upstream import open_upstream
 from cranberryhold.settings import EntrySettings, NodeSettings
 from cranberryhold.sidecar import Sidecar, quic_configuration
-from cranberryhold.upstream import open_upstream
 from emulator.certificates import CertificateFiles
 from emulator.fabric import Fabric, Impairment
 from emulator.upstream import Behaviour, Upstream, serve_upstream
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -8,10 +8,10 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from cranberryhold.admission import Admission
 from cranberryhold.clock import SystemClock
 from cranberryhold.exceptions import NotRunError
-from cranberryhold.manifest import ClassKind
+from cranberryhold.manifest.models import ClassKind
+from cranberryhold.requests.admission import Admission
 from tests.pipeline_fakes import LONG, SHORT
 from tools.virtual_time import run_virtual
 
--- a/tests/test_apply.py
+++ b/tests/test_apply.py
@@ -16,11 +16,6 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from cranberryhold.apply import (
-    MANIFEST_KEY,
-    apply_manifest,
-    read_accepted_manifest,
-)
 from cranberryhold.exceptions import (
     ConflictError,
     CranberryholdError,
@@ -28,7 +23,17 @@
     StoreError,
     StoreOutcomeUnknownError,
 )
-from cranberryhold.manifest import AcceptedManifest, DrainPolicy, Manifest, Service
+from cranberryhold.manifest.apply import (
+    MANIFEST_KEY,
+    apply_manifest,
+    read_accepted_manifest,
+)
+from cranberryhold.manifest.models import (
+    AcceptedManifest,
+    DrainPolicy,
+    Manifest,
+    Service,
+)
 from cranberryhold.store import VersionedValue
 from emulator.key_values import KeyValues, MemoryStore
 
@@ -261,7 +266,7 @@
 async def test_submissions_are_remembered_up_to_a_limit(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr("cranberryhold.apply.REMEMBERED_SUBMISSIONS", 3)
+    monkeypatch.setattr("cranberryhold.manifest.apply.REMEMBERED_SUBMISSIONS", 3)
     store = MemoryStore()
     for number in range(5):
         await apply_manifest(store, manifest_of(number), f"run-{number}", NOW)
--- a/tests/test_caller.py
+++ b/tests/test_caller.py
@@ -17,7 +17,7 @@
     OutcomeUnknownError,
 )
 from cranberryhold.feeds import resume_by_sequence
-from cranberryhold.manifest import RetryPolicy
+from cranberryhold.manifest.models import RetryPolicy
 from tests.h3_service import h3_service
 from tests.waiting import until
 
--- a/tests/test_caller_site.py
+++ b/tests/test_caller_site.py
@@ -10,7 +10,7 @@
 
 from cranberryhold.caller import Caller
 from cranberryhold.exceptions import KeyRequiredError, OutcomeUnknownError
-from cranberryhold.manifest import RetryPolicy
+from cranberryhold.manifest.models import RetryPolicy
 from emulator.upstream import Behaviour
 from tests.small_site import small_site
 from tests.waiting import until
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -16,7 +16,6 @@
 import yaml
 
 from cranberryhold.addresses import Address
-from cranberryhold.apply import read_accepted_manifest
 from cranberryhold.cli import COMMANDS, Command, execute
 from cranberryhold.exceptions import (
     ConflictError,
@@ -29,8 +28,9 @@
     StoreOutcomeUnknownError,
 )
 from cranberryhold.keys import KeyRing
-from cranberryhold.manifest import AcceptedManifest, Manifest
-from cranberryhold.members import Role
+from cranberryhold.manifest.apply import read_accepted_manifest
+from cranberryhold.manifest.models import AcceptedManifest, Manifest
+from cranberryhold.membership.members import Role
 from cranberryhold.node import running_node
 from cranberryhold.settings import EntrySettings, NodeSettings, SidecarSettings
 from emulator.key_values import KeyValues, MemoryStore
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -7,10 +7,10 @@
 import pytest
 
 from cranberryhold.addresses import Address
-from cranberryhold.control import ControlClient, ControlServer
 from cranberryhold.exceptions import PeerError
 from cranberryhold.keys import KeyRing
-from cranberryhold.messages import ControlMessage, RecordsRequest
+from cranberryhold.membership.control import ControlClient, ControlServer
+from cranberryhold.membership.messages import ControlMessage, RecordsRequest
 from tests.waiting import until
 
 ANY_PORT = Address("127.0.0.1", 0)
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -7,8 +7,8 @@
 from cranberryhold.clock import SystemClock
 from cranberryhold.distribution import ManifestState
 from cranberryhold.exceptions import ManifestError
-from cranberryhold.manifest import AcceptedManifest, Manifest
-from cranberryhold.messages import Announcement, encode
+from cranberryhold.manifest.models import AcceptedManifest, Manifest
+from cranberryhold.membership.messages import Announcement, encode
 from tools.clusters import Cluster, MemoryStore, accepted_manifest, running_cluster
 from tools.virtual_time import run_virtual
 
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -7,7 +7,7 @@
 import pytest
 
 from cranberryhold.cli import build_parser
-from cranberryhold.manifest_text import load_manifest
+from cranberryhold.manifest.text import load_manifest
 
 ROOT = Path(__file__).parent.parent
 PAGES = [
--- a/tests/test_dump.py
+++ b/tests/test_dump.py
@@ -9,11 +9,11 @@
 from loguru import logger
 
 from cranberryhold.addresses import Address
-from cranberryhold.control import ControlServer
 from cranberryhold.dump import DumpRequest, dump_handler, dump_on_signal, request_dump
 from cranberryhold.exceptions import PeerError
 from cranberryhold.keys import KeyRing
 from cranberryhold.logs import setup_logs
+from cranberryhold.membership.control import ControlServer
 
 ANY_PORT = Address("127.0.0.1", 0)
 
--- a/tests/test_emulator_upstream.py
+++ b/tests/test_emulator_upstream.py
@@ -8,7 +8,7 @@
 import pytest
 
 from cranberryhold.addresses import Address
-from cranberryhold.exchange import DEADLINE_HEADER
+from cranberryhold.requests.exchange import DEADLINE_HEADER
 from emulator.upstream import Behaviour, Upstream, build_parser, serve_upstream
 from tests.waiting import until
 
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -8,13 +8,13 @@
 
 from cranberryhold.addresses import Address
 from cranberryhold.clock import SystemClock
-from cranberryhold.connection_ids import ConnectionIdCodec, TargetRef
+from cranberryhold.datapath.connection_ids import ConnectionIdCodec, TargetRef
+from cranberryhold.datapath.packets import Direction, ForwardCodec
+from cranberryhold.datapath.routing import DropReason
 from cranberryhold.entry import EntryInstance
 from cranberryhold.exceptions import ManifestError
-from cranberryhold.manifest import ReleasedAddress, service_id
-from cranberryhold.members import MemberTable
-from cranberryhold.packets import Direction, ForwardCodec
-from cranberryhold.routing import DropReason
+from cranberryhold.manifest.models import ReleasedAddress, service_id
+from cranberryhold.membership.members import MemberTable
 from cranberryhold.settings import EntrySettings, NodeSettings
 from tests.builders import (
     RING,
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -3,15 +3,20 @@
 import pytest
 
 from cranberryhold.clock import SystemClock
-from cranberryhold.gossip import (
+from cranberryhold.membership.gossip import (
     BUCKETS,
     ByteBudget,
     TableDigest,
     UpdateQueue,
     piggyback_limit,
 )
-from cranberryhold.members import MemberState, MemberTable
-from cranberryhold.messages import MAX_PAYLOAD_BYTES, Gossip, decode_datagram, encode
+from cranberryhold.membership.members import MemberState, MemberTable
+from cranberryhold.membership.messages import (
+    MAX_PAYLOAD_BYTES,
+    Gossip,
+    decode_datagram,
+    encode,
+)
 from tools.clusters import Cluster, running_cluster
 
 virtual = pytest.mark.looptime(start=0, noop_cycles=0)
--- a/tests/test_guard.py
+++ b/tests/test_guard.py
@@ -5,8 +5,17 @@
 import pytest
 
 from cranberryhold.addresses import Address
-from cranberryhold.members import Member, MemberChange, MemberState, MemberTable
-from cranberryhold.targets import MassFailureGuard, ServiceTargets, TargetTables
+from cranberryhold.datapath.targets import (
+    MassFailureGuard,
+    ServiceTargets,
+    TargetTables,
+)
+from cranberryhold.membership.members import (
+    Member,
+    MemberChange,
+    MemberState,
+    MemberTable,
+)
 from tests.builders import target
 
 DOWN, LEAVING, ALIVE = MemberState.DOWN, MemberState.LEAVING, MemberState.ALIVE
--- a/tests/test_h3_client.py
+++ b/tests/test_h3_client.py
@@ -18,13 +18,13 @@
 from cranberryhold import h3_client
 from cranberryhold.addresses import Address
 from cranberryhold.exceptions import NotRunError, OutcomeUnknownError
-from cranberryhold.exchange import Request, bytes_body
 from cranberryhold.h3_client import (
     SEND_BUFFER_BYTES,
     GoawayH3Connection,
     client_configuration,
     open_connection,
 )
+from cranberryhold.requests.exchange import Request, bytes_body
 from tests.h3_service import h3_service
 from tests.waiting import until
 
--- a/tests/test_idempotency.py
+++ b/tests/test_idempotency.py
@@ -8,16 +8,16 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from cranberryhold.connection_ids import TargetRef
+from cranberryhold.datapath.connection_ids import TargetRef
 from cranberryhold.exceptions import NotRunError, OutcomeUnknownError
-from cranberryhold.exchange import IDEMPOTENCY_KEY_PATH, Request
-from cranberryhold.idempotency import (
+from cranberryhold.keys import KeyRing
+from cranberryhold.requests.exchange import IDEMPOTENCY_KEY_PATH, Request
+from cranberryhold.requests.idempotency import (
     KEY_LIFETIME_S,
     KeyIssuer,
     RecordTable,
     StoredResponse,
 )
-from cranberryhold.keys import KeyRing
 from tests.pipeline_fakes import RING, TargetGroup, get_response, post, service
 from tools.virtual_time import run_virtual
 
--- a/tests/test_load_reports.py
+++ b/tests/test_load_reports.py
@@ -6,14 +6,14 @@
 import pytest
 
 from cranberryhold.addresses import Address
-from cranberryhold.admission import Load
 from cranberryhold.background_tasks import running_tasks
 from cranberryhold.clock import SystemClock
-from cranberryhold.links import MemoryNetwork
-from cranberryhold.load_reports import REPORT_LIFETIME_S, LoadReporter
-from cranberryhold.members import Member, Role
-from cranberryhold.membership import Membership
-from cranberryhold.messages import ServiceLoad, encode
+from cranberryhold.membership.links import MemoryNetwork
+from cranberryhold.membership.members import Member, Role
+from cranberryhold.membership.membership import Membership
+from cranberryhold.membership.messages import ServiceLoad, encode
+from cranberryhold.requests.admission import Load
+from cranberryhold.requests.load_reports import REPORT_LIFETIME_S, LoadReporter
 
 pytestmark = pytest.mark.looptime(start=0, noop_cycles=0)
 
--- a/tests/test_manifest_text.py
+++ b/tests/test_manifest_text.py
@@ -11,8 +11,8 @@
 
 from cranberryhold.cli import build_parser
 from cranberryhold.exceptions import ManifestError
-from cranberryhold.manifest import ClassKind, Manifest, Service
-from cranberryhold.manifest_text import format_errors, load_manifest, manifest_schema
+from cranberryhold.manifest.models import ClassKind, Manifest, Service
+from cranberryhold.manifest.text import format_errors, load_manifest, manifest_schema
 
 EXAMPLES = Path(__file__).parent.parent / "examples"
 
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -6,7 +6,7 @@
 from hypothesis import strategies as st
 
 from cranberryhold.addresses import Address
-from cranberryhold.members import (
+from cranberryhold.membership.members import (
     LivePeers,
     Member,
     MemberState,
@@ -14,8 +14,8 @@
     Role,
     incarnation_is_later,
 )
-from cranberryhold.messages import Join as JoinMessage
-from cranberryhold.messages import decode_datagram, encode, record_of
+from cranberryhold.membership.messages import Join as JoinMessage
+from cranberryhold.membership.messages import decode_datagram, encode, record_of
 from tools.clusters import Cluster, running_cluster
 from tools.virtual_time import run_virtual
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -5,11 +5,11 @@
 
 import pytest
 
-from cranberryhold import membership as membership_module
 from cranberryhold.clock import SystemClock
-from cranberryhold.gossip import MAX_BYTES_PER_SECOND
-from cranberryhold.members import MemberState
-from cranberryhold.messages import (
+from cranberryhold.membership import membership as membership_module
+from cranberryhold.membership.gossip import MAX_BYTES_PER_SECOND
+from cranberryhold.membership.members import MemberState
+from cranberryhold.membership.messages import (
     Ack,
     Announcement,
     BucketDigests,
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -11,9 +11,9 @@
 from cranberryhold.distribution import query_status
 from cranberryhold.exceptions import PeerError
 from cranberryhold.keys import KeyRing
-from cranberryhold.links import UdpLink
-from cranberryhold.members import MemberState, Role
-from cranberryhold.messages import ControlMessage, RecordsRequest
+from cranberryhold.membership.links import UdpLink
+from cranberryhold.membership.members import MemberState, Role
+from cranberryhold.membership.messages import ControlMessage, RecordsRequest
 from cranberryhold.node import Node, running_node
 from cranberryhold.settings import NodeSettings
 from tests.waiting import until
--- a/tests/test_peer_requests.py
+++ b/tests/test_peer_requests.py
@@ -11,22 +11,22 @@
 
 from cranberryhold.addresses import Address
 from cranberryhold.clock import SystemClock
-from cranberryhold.connection_ids import TargetRef
-from cranberryhold.curve import derive_key_pair
+from cranberryhold.datapath.connection_ids import TargetRef
 from cranberryhold.exceptions import OutcomeUnknownError, PeerError
-from cranberryhold.exchange import IDEMPOTENCY_KEY_PATH, Request, Response
 from cranberryhold.keys import KeyRing
-from cranberryhold.members import Member, Role
-from cranberryhold.peer_pool import PeerPool
-from cranberryhold.peer_request_messages import (
+from cranberryhold.membership.curve import derive_key_pair
+from cranberryhold.membership.members import Member, Role
+from cranberryhold.requests.exchange import IDEMPOTENCY_KEY_PATH, Request, Response
+from cranberryhold.requests.peer_pool import PeerPool
+from cranberryhold.requests.peer_request_messages import (
     BodyChunk,
     BodyEnd,
     Channel,
     SlotRequest,
     encode,
 )
-from cranberryhold.peer_requests import PeerRequestClient, PeerRequestServer
-from cranberryhold.pipeline import RequestPipeline
+from cranberryhold.requests.peer_requests import PeerRequestClient, PeerRequestServer
+from cranberryhold.requests.pipeline import RequestPipeline
 from tests.pipeline_fakes import RING, FakeUpstream, get_response, post, service
 from tests.sockets import LOOPBACK_IP
 from tests.waiting import until
--- a/tests/test_pipeline.py
+++ b/tests/test_pipeline.py
@@ -8,7 +8,11 @@
 from hypothesis import strategies as st
 
 from cranberryhold.exceptions import NotRunError, OutcomeUnknownError
-from cranberryhold.exchange import IDEMPOTENCY_KEY_PATH, OUTCOME_HEADER, Request
+from cranberryhold.requests.exchange import (
+    IDEMPOTENCY_KEY_PATH,
+    OUTCOME_HEADER,
+    Request,
+)
 from tests.pipeline_fakes import LONG, SHORT, TargetGroup, get_response, post, service
 from tools.virtual_time import run_virtual
 
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -4,7 +4,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from cranberryhold.placement import (
+from cranberryhold.datapath.placement import (
     TABLE_SIZES,
     MaglevTable,
     should_pass_on,
--- a/tests/test_quic.py
+++ b/tests/test_quic.py
@@ -15,13 +15,13 @@
 
 from cranberryhold.addresses import Address
 from cranberryhold.clock import SystemClock
-from cranberryhold.connection_ids import ConnectionIdCodec, TargetRef
-from cranberryhold.exchange import Request, Response, bytes_body
-from cranberryhold.h3_server import _SeenStreams
+from cranberryhold.datapath.connection_ids import ConnectionIdCodec, TargetRef
+from cranberryhold.datapath.packets import Direction, ForwardCodec, read_connection_id
 from cranberryhold.keys import KeyRing
-from cranberryhold.manifest import Service
-from cranberryhold.members import MemberTable
-from cranberryhold.packets import Direction, ForwardCodec, read_connection_id
+from cranberryhold.manifest.models import Service
+from cranberryhold.membership.members import MemberTable
+from cranberryhold.requests.exchange import Request, Response, bytes_body
+from cranberryhold.requests.h3_server import _SeenStreams
 from cranberryhold.sidecar import Sidecar, quic_configuration
 from tests.aioquic_client import AioquicClient
 from tests.waiting import until
--- a/tests/test_return_paths.py
+++ b/tests/test_return_paths.py
@@ -5,8 +5,8 @@
 import pytest
 
 from cranberryhold.addresses import Address
-from cranberryhold.members import Member, MemberState, MemberTable, Role
-from cranberryhold.return_paths import PATH_LIFETIME_S, PATH_LIMIT, ReturnPaths
+from cranberryhold.datapath.return_paths import PATH_LIFETIME_S, PATH_LIMIT, ReturnPaths
+from cranberryhold.membership.members import Member, MemberState, MemberTable, Role
 
 CALLER = ("10.9.0.1", 5000)
 SERVICE = bytes(6)
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -8,13 +8,13 @@
 from hypothesis import strategies as st
 
 from cranberryhold.addresses import Address
-from cranberryhold.connection_ids import ConnectionIdCodec, TargetRef
+from cranberryhold.datapath.connection_ids import ConnectionIdCodec, TargetRef
+from cranberryhold.datapath.packets import Direction, ForwardCodec
+from cranberryhold.datapath.routing import DropReason, Router
+from cranberryhold.datapath.targets import TargetTables
 from cranberryhold.keys import KeyRing
-from cranberryhold.manifest import service_id
-from cranberryhold.members import Member, MemberState, MemberTable
-from cranberryhold.packets import Direction, ForwardCodec
-from cranberryhold.routing import DropReason, Router
-from cranberryhold.targets import TargetTables
+from cranberryhold.manifest.models import service_id
+from cranberryhold.membership.members import Member, MemberState, MemberTable
 from tests.builders import (
     RING,
     ManualClock,
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -7,10 +7,10 @@
 import pytest
 from pytest_bdd import given, parsers, scenarios, step, then, when
 
-from cranberryhold.exchange import IDEMPOTENCY_KEY_PATH
-from cranberryhold.members import MemberState
-from cranberryhold.packets import Direction, ForwardCodec
-from cranberryhold.routing import DropReason
+from cranberryhold.datapath.packets import Direction, ForwardCodec
+from cranberryhold.datapath.routing import DropReason
+from cranberryhold.membership.members import MemberState
+from cranberryhold.requests.exchange import IDEMPOTENCY_KEY_PATH
 from tests.scenario_context import ZONES, ScenarioContext, service
 from tests.simulation import KEYS, SimulatedCaller, Simulation
 from tests.waiting import until
--- a/tests/test_slopes.py
+++ b/tests/test_slopes.py
@@ -7,7 +7,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from cranberryhold.messages import Datagram
+from cranberryhold.membership.messages import Datagram
 from tools.slope_parts.fits import MIN_POINTS, Slope
 from tools.slope_parts.meters import measure_memory
 from tools.slopes import RECORDED, load, record
@@ -67,6 +67,6 @@
     _, slopes = load()
     for kind in Datagram.__subclasses__():
         name = re.sub(r"(?<!^)(?=[A-Z])", "-", kind.__name__).lower()
-        if kind.__module__ == "cranberryhold.messages":
+        if kind.__module__ == "cranberryhold.membership.messages":
             assert f"datagram.{name}.wire" in slopes
             assert f"datagram.{name}.time" in slopes
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -8,8 +8,12 @@
 
 from cranberryhold.addresses import Address
 from cranberryhold.exceptions import NotRunError, OutcomeUnknownError
-from cranberryhold.exchange import Request, bytes_body
-from cranberryhold.upstream import UpstreamMonitor, UpstreamState, open_upstream
+from cranberryhold.requests.exchange import Request, bytes_body
+from cranberryhold.requests.upstream import (
+    UpstreamMonitor,
+    UpstreamState,
+    open_upstream,
+)
 
 Serve = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
 
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -5,19 +5,19 @@
 from hypothesis import strategies as st
 
 from cranberryhold.addresses import Address
-from cranberryhold.connection_ids import (
+from cranberryhold.datapath.connection_ids import (
     CONNECTION_ID_BYTES,
     ConnectionIdCodec,
     TargetRef,
 )
-from cranberryhold.exceptions import KeyRingError, SealError
-from cranberryhold.keys import KeyRing
-from cranberryhold.packets import (
+from cranberryhold.datapath.packets import (
     Direction,
     ForwardCodec,
     is_first_packet,
     read_connection_id,
 )
+from cranberryhold.exceptions import KeyRingError, SealError
+from cranberryhold.keys import KeyRing
 
 OLD = bytes(range(32))
 NEW = bytes(range(32, 64))
--- a/tools/bench.py
+++ b/tools/bench.py
@@ -15,10 +15,10 @@
 from contextlib import ExitStack
 
 from cranberryhold.addresses import Address
-from cranberryhold.members import Member, MemberTable, Role
-from cranberryhold.placement import MaglevTable
-from cranberryhold.routing import Router
-from cranberryhold.targets import TargetTables
+from cranberryhold.datapath.placement import MaglevTable
+from cranberryhold.datapath.routing import Router
+from cranberryhold.datapath.targets import TargetTables
+from cranberryhold.membership.members import Member, MemberTable, Role
 from tools.bench_parts import KEYS, SERVICE, first_packet, flow_packet
 from tools.bench_requests import print_tables
 from tools.tables import Table
--- a/tools/bench_parts.py
+++ b/tools/bench_parts.py
@@ -12,12 +12,21 @@
 from loguru import logger
 
 from cranberryhold.addresses import Address
-from cranberryhold.connection_ids import ConnectionIdCodec, TargetRef
+from cranberryhold.datapath.connection_ids import ConnectionIdCodec, TargetRef
+from cranberryhold.datapath.packets import (
+    MINIMUM_INITIAL_BYTES,
+    Direction,
+    ForwardCodec,
+)
 from cranberryhold.entry import EntryInstance
 from cranberryhold.keys import KeyRing
-from cranberryhold.manifest import AcceptedManifest, Manifest, Service, service_id
-from cranberryhold.members import Member, MemberTable, Role
-from cranberryhold.packets import MINIMUM_INITIAL_BYTES, Direction, ForwardCodec
+from cranberryhold.manifest.models import (
+    AcceptedManifest,
+    Manifest,
+    Service,
+    service_id,
+)
+from cranberryhold.membership.members import Member, MemberTable, Role
 from cranberryhold.settings import EntrySettings, NodeSettings
 
 SERVICE = "core"
--- a/tools/capacity_parts/events.py
+++ b/tools/capacity_parts/events.py
@@ -6,7 +6,7 @@
     ANNOUNCE_FANOUT,
     MAX_INLINE_DELTA_BYTES,
 )
-from cranberryhold.membership import RETENTION_S
+from cranberryhold.membership.membership import RETENTION_S
 from tools.capacity_parts.markdown import fmt, plain_table
 from tools.capacity_parts.model import UPDATES_PER_FAILURE, UPDATES_PER_RESTART, Model
 from tools.capacity_parts.sizes import BYTES_PER_SECOND_LIMIT, CORE_LIMIT, DAY_S
--- a/tools/capacity_parts/model.py
+++ b/tools/capacity_parts/model.py
@@ -2,6 +2,11 @@
 
 from dataclasses import dataclass
 
+from cranberryhold.datapath.placement import (
+    TABLE_SIZES,
+    slow_start_schedule,
+    table_size,
+)
 from cranberryhold.distribution.distributor import MAX_INLINE_DELTA_BYTES
 from cranberryhold.distribution.missed_changes import CHECK_INTERVAL_S, CHECK_JITTER
 from cranberryhold.distribution.reader import (
@@ -9,10 +14,9 @@
     READERS_PER_ZONE,
     WATCH_TIMEOUT_S,
 )
-from cranberryhold.idempotency import MAX_RECORDS
-from cranberryhold.load_reports import PEERS_PER_ROUND, REPORT_INTERVAL_S
-from cranberryhold.manifest import Service
-from cranberryhold.placement import TABLE_SIZES, slow_start_schedule, table_size
+from cranberryhold.manifest.models import Service
+from cranberryhold.requests.idempotency import MAX_RECORDS
+from cranberryhold.requests.load_reports import PEERS_PER_ROUND, REPORT_INTERVAL_S
 from tools.capacity_parts.sizes import DAY_S, Site
 from tools.slope_parts.fits import Slope
 
--- a/tools/clusters.py
+++ b/tools/clusters.py
@@ -17,16 +17,16 @@
     ManifestState,
 )
 from cranberryhold.exceptions import StoreError
-from cranberryhold.links import MemoryLink, MemoryNetwork
-from cranberryhold.manifest import (
+from cranberryhold.manifest.models import (
     MANIFEST_KEY,
     AcceptedManifest,
     Manifest,
     Service,
 )
-from cranberryhold.members import Member, MemberTable, Role
-from cranberryhold.membership import Membership
-from cranberryhold.messages import ManifestRequest, RecordsRequest
+from cranberryhold.membership.links import MemoryLink, MemoryNetwork
+from cranberryhold.membership.members import Member, MemberTable, Role
+from cranberryhold.membership.membership import Membership
+from cranberryhold.membership.messages import ManifestRequest, RecordsRequest
 from cranberryhold.store import Store, VersionedValue
 
 LOCAL_DELAY_S = 0.0005
--- a/tools/measures/blocking.py
+++ b/tools/measures/blocking.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass, field
 from random import Random
 
-from cranberryhold.manifest import ClassKind
+from cranberryhold.manifest.models import ClassKind
 from tests.baselines_requests import PLACEMENTS, Job, Placement, ServiceSize
 from tools.tables import Table
 from tools.virtual_time import run_virtual
--- a/tools/measures/crest.py
+++ b/tools/measures/crest.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass, field
 from random import Random
 
-from cranberryhold.manifest import ClassKind, RetryPolicy
+from cranberryhold.manifest.models import ClassKind, RetryPolicy
 from tests.baselines_requests import (
     BudgetedCaller,
     CranberryholdPlacement,
--- a/tools/measures/membership.py
+++ b/tools/measures/membership.py
@@ -8,7 +8,7 @@
 
 from loguru import logger
 
-from cranberryhold.members import MemberState
+from cranberryhold.membership.members import MemberState
 from tools.clusters import Cluster, Instance, accepted_manifest, running_cluster
 from tools.tables import Table
 from tools.virtual_time import run_virtual
--- a/tools/measures/placement.py
+++ b/tools/measures/placement.py
@@ -10,18 +10,18 @@
 from dataclasses import dataclass, replace
 
 from cranberryhold.addresses import Address
-from cranberryhold.connection_ids import ConnectionIdCodec, TargetRef
-from cranberryhold.keys import KeyRing
-from cranberryhold.manifest import service_id
-from cranberryhold.members import Member, MemberState, MemberTable, Role
-from cranberryhold.placement import MaglevTable, should_pass_on
-from cranberryhold.routing import DropReason, Router
-from cranberryhold.targets import (
+from cranberryhold.datapath.connection_ids import ConnectionIdCodec, TargetRef
+from cranberryhold.datapath.placement import MaglevTable, should_pass_on
+from cranberryhold.datapath.routing import DropReason, Router
+from cranberryhold.datapath.targets import (
     GUARD_WINDOW_S,
     MassFailureGuard,
     ServiceTargets,
     TargetTables,
 )
+from cranberryhold.keys import KeyRing
+from cranberryhold.manifest.models import service_id
+from cranberryhold.membership.members import Member, MemberState, MemberTable, Role
 from tests.baselines_placement import Baseline, HashModulo, Rendezvous, RoundRobin
 from tools.tables import Table
 
--- a/tools/measures/records.py
+++ b/tools/measures/records.py
@@ -4,8 +4,12 @@
 
 from cranberryhold.addresses import Address
 from cranberryhold.clock import SystemClock
-from cranberryhold.connection_ids import TargetRef
-from cranberryhold.idempotency import IdempotencyKey, RecordTable, StoredResponse
+from cranberryhold.datapath.connection_ids import TargetRef
+from cranberryhold.requests.idempotency import (
+    IdempotencyKey,
+    RecordTable,
+    StoredResponse,
+)
 from tools.tables import Table
 from tools.virtual_time import run_virtual
 
--- a/tools/slope_parts/connections.py
+++ b/tools/slope_parts/connections.py
@@ -19,12 +19,12 @@
 
 from cranberryhold.addresses import Address
 from cranberryhold.clock import SystemClock
-from cranberryhold.connection_ids import ConnectionIdCodec, TargetRef
-from cranberryhold.exchange import Request, Response, bytes_body
-from cranberryhold.h3_server import H3ServerConnection
-from cranberryhold.manifest import Service
-from cranberryhold.pipeline import RequestPipeline
-from cranberryhold.quic import SidecarQuicServer
+from cranberryhold.datapath.connection_ids import ConnectionIdCodec, TargetRef
+from cranberryhold.datapath.quic import SidecarQuicServer
+from cranberryhold.manifest.models import Service
+from cranberryhold.requests.exchange import Request, Response, bytes_body
+from cranberryhold.requests.h3_server import H3ServerConnection
+from cranberryhold.requests.pipeline import RequestPipeline
 from cranberryhold.sidecar import quic_configuration
 from emulator.certificates import write_certificate
 from tools.bench_parts import KEYS
--- a/tools/slope_parts/manifests.py
+++ b/tools/slope_parts/manifests.py
@@ -5,7 +5,8 @@
 from random import Random
 
 from cranberryhold.clock import SystemClock
-from cranberryhold.deltas import (
+from cranberryhold.distribution import ManifestDistributor, ManifestState
+from cranberryhold.manifest.deltas import (
     apply_delta,
     build_delta,
     decode_delta,
@@ -13,17 +14,16 @@
     manifest_digest,
     service_digests,
 )
-from cranberryhold.distribution import ManifestDistributor, ManifestState
-from cranberryhold.links import MemoryNetwork
-from cranberryhold.manifest import (
+from cranberryhold.manifest.models import (
     AcceptedManifest,
     ClassKind,
     Manifest,
     RequestClass,
     Service,
 )
-from cranberryhold.membership import Membership
-from cranberryhold.messages import ManifestRequest, encode
+from cranberryhold.membership.links import MemoryNetwork
+from cranberryhold.membership.membership import Membership
+from cranberryhold.membership.messages import ManifestRequest, encode
 from tools.clusters import Cluster
 from tools.slope_parts.fits import Slope
 from tools.slope_parts.meters import measure_memory, measure_processor_time
--- a/tools/slope_parts/spread.py
+++ b/tools/slope_parts/spread.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass
 from math import log2
 
-from cranberryhold.members import MemberState
+from cranberryhold.membership.members import MemberState
 from tools.clusters import (
     Cluster,
     Instance,
--- a/tools/slope_parts/state.py
+++ b/tools/slope_parts/state.py
@@ -9,16 +9,20 @@
 
 from cranberryhold.addresses import Address
 from cranberryhold.clock import SystemClock
-from cranberryhold.connection_ids import TargetRef
-from cranberryhold.idempotency import IdempotencyKey, RecordTable, StoredResponse
-from cranberryhold.links import MemoryNetwork
-from cranberryhold.members import Member, MemberTable, Role
-from cranberryhold.membership import Membership
-from cranberryhold.messages import Record, encode, encoded_record, record_of
-from cranberryhold.packets import Direction, ForwardCodec
-from cranberryhold.placement import MaglevTable, table_size
-from cranberryhold.routing import Router
-from cranberryhold.targets import TargetTables
+from cranberryhold.datapath.connection_ids import TargetRef
+from cranberryhold.datapath.packets import Direction, ForwardCodec
+from cranberryhold.datapath.placement import MaglevTable, table_size
+from cranberryhold.datapath.routing import Router
+from cranberryhold.datapath.targets import TargetTables
+from cranberryhold.membership.links import MemoryNetwork
+from cranberryhold.membership.members import Member, MemberTable, Role
+from cranberryhold.membership.membership import Membership
+from cranberryhold.membership.messages import Record, encode, encoded_record, record_of
+from cranberryhold.requests.idempotency import (
+    IdempotencyKey,
+    RecordTable,
+    StoredResponse,
+)
 from tools.bench_parts import KEYS, flow_packet
 from tools.clusters import Cluster
 from tools.slope_parts.fits import Slope
--- a/tools/slope_parts/watches.py
+++ b/tools/slope_parts/watches.py
@@ -5,7 +5,7 @@
 from contextlib import AsyncExitStack
 
 from cranberryhold.consul import ConsulStore
-from cranberryhold.manifest import MANIFEST_KEY
+from cranberryhold.manifest.models import MANIFEST_KEY
 from tools.clusters import MemoryStore, accepted_manifest, running_cluster
 from tools.slope_parts.fits import Slope
 from tools.slope_parts.meters import measure_memory
--- a/tools/slope_parts/wire.py
+++ b/tools/slope_parts/wire.py
@@ -2,10 +2,10 @@
 
 from collections.abc import Iterator
 
-from cranberryhold.gossip import BUCKETS, TableDigest
-from cranberryhold.links import OVERHEAD_BYTES
-from cranberryhold.members import MemberTable
-from cranberryhold.messages import (
+from cranberryhold.membership.gossip import BUCKETS, TableDigest
+from cranberryhold.membership.links import OVERHEAD_BYTES
+from cranberryhold.membership.members import MemberTable
+from cranberryhold.membership.messages import (
     Ack,
     Announcement,
     BucketDigests,
