Remove the import circle of membership, gossip and probing

Cause: probing and anti-entropy took the whole Membership, which imports both of them, and could name it only while types are checked.

Change: they take a MembershipContext, a protocol that lists what they use of it. The counters stand beside it.

--- a/src/cranberryhold/membership/gossip.py
+++ b/src/cranberryhold/membership/gossip.py
@@ -7,12 +7,12 @@
 from hashlib import blake2b
 from math import ceil, log2
 from struct import Struct as Layout
-from typing import TYPE_CHECKING
 
 from msgspec import Raw
 
 from cranberryhold.addresses import Address
 from cranberryhold.clock import Clock
+from cranberryhold.membership.context import MembershipContext
 from cranberryhold.membership.members import (
     Member,
     MemberChange,
@@ -27,9 +27,6 @@
     encoded_record,
 )
 
-if TYPE_CHECKING:
-    from cranberryhold.membership.membership import Membership
-
 MAX_BYTES_PER_SECOND = 13_000
 """Limit of control traffic that a member sends, from the requirements."""
 
@@ -286,7 +283,7 @@
     byte budget is used up; a later round makes up for it.
     """
 
-    def __init__(self, membership: "Membership") -> None:
+    def __init__(self, membership: MembershipContext) -> None:
         self._membership = membership
         self.digest = TableDigest(membership.table)
         self.handlers = {
--- a/src/cranberryhold/membership/membership.py
+++ b/src/cranberryhold/membership/membership.py
@@ -2,15 +2,15 @@
 
 Failure detection follows SWIM with the local health of Lifeguard; see
 :mod:`cranberryhold.membership.probing` for the probes and
-:mod:`cranberryhold.membership.gossip` for the
-dissemination of updates. The clock, the random generator, the link and the RPC client
-are arguments, so that the same code runs in a daemon and in virtual time.
+:mod:`cranberryhold.membership.gossip` for the dissemination of updates. The clock, the
+random generator, the link and the RPC client are arguments, so that the same code runs
+in a daemon and in virtual time.
 """
 
 import asyncio
 from collections.abc import AsyncIterator, Callable, Iterable
 from contextlib import asynccontextmanager
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from random import Random
 
 from loguru import logger
@@ -20,6 +20,7 @@
 from cranberryhold.background_tasks import running_tasks
 from cranberryhold.clock import Clock
 from cranberryhold.exceptions import PeerError
+from cranberryhold.membership.context import Counters
 from cranberryhold.membership.gossip import (
     BUCKETS,
     AntiEntropy,
@@ -79,16 +80,6 @@
 Handler = Callable[[Datagram, Address], None]
 
 
-@dataclass(slots=True)
-class Counters:
-    """Counts of faults on the control path since the start."""
-
-    malformed: int = 0
-    duplicate_node_ids: int = 0
-    refutations: int = 0
-    declared_down: int = 0
-
-
 class Membership:
     """Keeps a :class:`~cranberryhold.membership.members.MemberTable` up to date.
 
--- a/src/cranberryhold/membership/probing.py
+++ b/src/cranberryhold/membership/probing.py
@@ -3,12 +3,12 @@
 import asyncio
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
-from typing import TYPE_CHECKING
 
 from loguru import logger
 
 from cranberryhold.addresses import PACKED_ADDRESS_BYTES, Address
 from cranberryhold.background_tasks import TaskSet
+from cranberryhold.membership.context import MembershipContext
 from cranberryhold.membership.members import Member, MemberState
 from cranberryhold.membership.messages import (
     Ack,
@@ -19,9 +19,6 @@
     encoded_record,
 )
 
-if TYPE_CHECKING:
-    from cranberryhold.membership.membership import Membership
-
 PROBE_INTERVAL_S = 1.0
 DIRECT_TIMEOUT_S = 0.3
 """Timeout of a direct probe. The round trip between zones takes 8 ms; the rest allows
@@ -61,7 +58,7 @@
     Timeouts grow with it, so that a slow observer does not suspect healthy members.
     """
 
-    def __init__(self, membership: "Membership") -> None:
+    def __init__(self, membership: MembershipContext) -> None:
         self._membership = membership
         self._sequence = 0
         self._probes: dict[int, _Probe] = {}
