Allow several taken ports in the test of the control port

Cause: test_port_in_use_for_tcp_is_replaced_or_reported let the second port be chosen by the system and failed (StopIteration) if another process used that one for TCP, too. _control_port tries again in this case, as it should, but the test had no third address.

Change: the first two addresses are taken, all others are chosen by the system. The test checks more than before: that a port is replaced twice, and that both were tried.

--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -4,6 +4,7 @@
 from collections.abc import AsyncIterator
 from contextlib import AsyncExitStack
 from dataclasses import replace
+from itertools import chain, repeat
 
 import pytest
 
@@ -117,7 +118,8 @@
         with pytest.raises(PeerError, match="is the port in use"):
             async with running_node(settings, Role.ENTRY, forward_address=LOCAL):
                 pass
-        addresses = iter([address, LOCAL])
+        # Another process may also use the port that the system chooses after these.
+        addresses = chain([address, address], repeat(LOCAL))
         original_open = UdpLink.open
 
         async def open_next(_: Address, keys: KeyRing) -> UdpLink:
@@ -127,3 +129,4 @@
         settings = replace(settings, control_address=LOCAL)
         async with running_node(settings, Role.ENTRY, forward_address=LOCAL) as node:
             assert node.local_member.control_address != address
+        assert next(addresses) == LOCAL
