Let the soak of the QUIC path pause processes for longer

Cause: pauses ended after 3 s, so that a peer that was given up while it was paused and then resumed was only simulated in virtual time.

--- a/tools/request_soak/__main__.py
+++ b/tools/request_soak/__main__.py
@@ -4,6 +4,7 @@
 import asyncio
 import sys
 
+from tools.request_soak.faults import DEFAULT_LONGEST_PAUSE_S
 from tools.request_soak.run import run_request_soak
 
 
@@ -15,11 +16,24 @@
     parser.add_argument(
         "--duration", type=float, default=15.0, help="seconds in which faults start"
     )
+    parser.add_argument(
+        "--longest-pause",
+        type=float,
+        default=DEFAULT_LONGEST_PAUSE_S,
+        help="upper bound of the pause of a process, in seconds",
+    )
     options = parser.parse_args()
     failed = []
     for seed in range(options.seed, options.seed + options.seeds):
         print(f"seed {seed} for {options.duration:.0f} s", flush=True)
-        violations = asyncio.run(run_request_soak(seed, options.duration, _log))
+        violations = asyncio.run(
+            run_request_soak(
+                seed,
+                options.duration,
+                _log,
+                longest_pause_s=options.longest_pause,
+            )
+        )
         for violation in violations:
             _log(f"VIOLATION {violation}")
         if violations:
--- a/tools/request_soak/faults.py
+++ b/tools/request_soak/faults.py
@@ -11,7 +11,8 @@
 from tools.processes import RunningProcess
 
 MEAN_INTERVAL_S = 1.0
-PAUSE_S = (0.1, 3.0)
+SHORTEST_PAUSE_S = 0.1
+DEFAULT_LONGEST_PAUSE_S = 3.0
 RESTART_DELAY_S = (0.0, 1.0)
 # Entry instances forward for 5 s after a stop signal, until the fabric has withdrawn
 # their routes.
@@ -36,12 +37,14 @@
 class FaultInjector:
     """Injects the faults of a seed into a running site.
 
+    :ivar longest_pause_s: upper bound of the pause of a process in seconds.
     :ivar disturbed: intervals of the faults that are not planned work.
     :ivar violations: planned stops that did not end as they should.
     """
 
     site: Site
     log: Callable[[str], None]
+    longest_pause_s: float = DEFAULT_LONGEST_PAUSE_S
     disturbed: list[Interval] = field(default_factory=list)
     violations: list[str] = field(default_factory=list)
     busy: set[str] = field(default_factory=set)
@@ -70,7 +73,7 @@
             process = self.site.targets[name].upstream
         started_at = time.monotonic()
         process.signal(signal.SIGSTOP)
-        await asyncio.sleep(random.uniform(*PAUSE_S))
+        await asyncio.sleep(random.uniform(SHORTEST_PAUSE_S, self.longest_pause_s))
         process.signal(signal.SIGCONT)
         self._record(started_at, f"paused {process.name}")
         self.busy.discard(name)
--- a/tools/request_soak/run.py
+++ b/tools/request_soak/run.py
@@ -6,7 +6,11 @@
 
 from tools.demo_site import CORE, Site, running_site
 from tools.processes import ProcessError
-from tools.request_soak.faults import FaultInjector, Interval
+from tools.request_soak.faults import (
+    DEFAULT_LONGEST_PAUSE_S,
+    FaultInjector,
+    Interval,
+)
 from tools.request_soak.load import (
     LINE_DEADLINE_S,
     LineRecord,
@@ -27,16 +31,21 @@
 
 
 async def run_request_soak(
-    seed: int, duration_s: float, log: Callable[[str], None]
+    seed: int,
+    duration_s: float,
+    log: Callable[[str], None],
+    *,
+    longest_pause_s: float = DEFAULT_LONGEST_PAUSE_S,
 ) -> list[str]:
     """Run a seed and return the violations.
 
     :param duration_s: seconds during which faults are started.
     :param log: takes progress lines.
+    :param longest_pause_s: upper bound of the pause of a process in seconds.
     """
     async with running_site(intake=()) as site:
         await _apply_manifest(site)
-        injector = FaultInjector(site, log)
+        injector = FaultInjector(site, log, longest_pause_s)
         async with running_load(site) as load:
             await asyncio.sleep(WARM_UP_S)
             await injector.run(seed, duration_s)
