Split the HTTP/3 client into a package

Cause: h3_client.py had grown to 463 lines and held the reader of GOAWAY frames, the response of a request and the connection.

Change: client/ holds the connection, GOAWAY frames, request streams, feeds and retries, each in a module of its own.

Ruled out: moving caller.py, which callers import under its present name.

--- a/src/cranberryhold/caller.py
+++ b/src/cranberryhold/caller.py
@@ -18,6 +18,13 @@
 from aioquic.quic.configuration import QuicConfiguration
 
 from cranberryhold.addresses import Address
+from cranberryhold.client.connection import (
+    ClientConnection,
+    client_configuration,
+    open_connection,
+)
+from cranberryhold.client.feeds import Feed, resume_by_sequence
+from cranberryhold.client.retries import RetryBudget, backoff, may_retry
 from cranberryhold.clock import Clock, SystemClock
 from cranberryhold.exceptions import (
     AddressError,
@@ -26,12 +33,6 @@
     NotRunError,
     OutcomeUnknownError,
 )
-from cranberryhold.feeds import Feed, resume_by_sequence
-from cranberryhold.h3_client import (
-    ClientConnection,
-    client_configuration,
-    open_connection,
-)
 from cranberryhold.manifest.models import RetryPolicy
 from cranberryhold.requests.exchange import (
     DEADLINE_HEADER,
@@ -45,7 +46,6 @@
     bytes_body,
     first_header,
 )
-from cranberryhold.retries import RetryBudget, backoff, may_retry
 
 DEFAULT_DEADLINE_S = 10.0
 
--- a/src/cranberryhold/h3_client.py
+++ b/src/cranberryhold/client/connection.py
@@ -1,6 +1,6 @@
 """HTTP/3 client connections over aioquic 1.7.2.
 
-No other module of the caller library uses private attributes of aioquic.
+No module outside this package uses private attributes of aioquic for callers.
 ``tests/test_h3_client.py`` fails if a new version changes them.
 """
 
@@ -8,18 +8,13 @@
 import ssl
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager, suppress
-from dataclasses import dataclass, field
 
 from aioquic.asyncio.protocol import QuicConnectionProtocol
-from aioquic.buffer import Buffer, BufferReadError
 from aioquic.h3.connection import (
     H3_ALPN,
     ErrorCode,
-    FrameType,
-    H3Connection,
-    StreamType,
 )
-from aioquic.h3.events import DataReceived, H3Event, HeadersReceived
+from aioquic.h3.events import DataReceived, HeadersReceived
 from aioquic.quic.configuration import QuicConfiguration
 from aioquic.quic.connection import QuicConnection
 from aioquic.quic.events import (
@@ -27,11 +22,12 @@
     HandshakeCompleted,
     QuicEvent,
     StopSendingReceived,
-    StreamDataReceived,
     StreamReset,
 )
 
 from cranberryhold.addresses import Address
+from cranberryhold.client.goaway import GoawayH3Connection
+from cranberryhold.client.request_stream import RequestStream
 from cranberryhold.exceptions import (
     CranberryholdError,
     NotRunError,
@@ -51,140 +47,6 @@
 SEND_BUFFER_BYTES = 512 * 1024
 
 
-class _ControlStreamReader:
-    """Reads the lowest GOAWAY id from a unidirectional stream of the server.
-
-    Frames of other types are skipped without being buffered.
-    """
-
-    def __init__(self) -> None:
-        self.goaway_id: int | None = None
-        self._is_control: bool | None = None
-        self._buffer = b""
-        self._skip_bytes = 0
-
-    def feed(self, data: bytes) -> None:
-        """Parse the next bytes of the stream; a frame may span several calls."""
-        if self._is_control is False:
-            return
-        self._buffer += data
-        with suppress(BufferReadError):
-            while self._buffer:
-                self._parse_next()
-
-    def _parse_next(self) -> None:
-        """Parse the stream type or one frame.
-
-        :raises BufferReadError: if the buffer doesn't hold all of it yet.
-        """
-        if self._skip_bytes:
-            skipped = min(self._skip_bytes, len(self._buffer))
-            self._skip_bytes -= skipped
-            self._buffer = self._buffer[skipped:]
-            return
-        buffer = Buffer(data=self._buffer)
-        type_value = buffer.pull_uint_var()
-        if self._is_control is None:
-            self._is_control = type_value == StreamType.CONTROL
-            self._buffer = self._buffer[buffer.tell() :] if self._is_control else b""
-            return
-        length = buffer.pull_uint_var()
-        if type_value == FrameType.GOAWAY and length:
-            start = buffer.tell()
-            stream_id = buffer.pull_uint_var()
-            # A later GOAWAY must not raise the id (RFC 9114, section 5.2).
-            known = stream_id if self.goaway_id is None else self.goaway_id
-            self.goaway_id = min(stream_id, known)
-            length -= buffer.tell() - start
-        self._buffer = self._buffer[buffer.tell() :]
-        self._skip_bytes = max(0, length)
-
-
-class GoawayH3Connection(H3Connection):
-    """An HTTP/3 connection that keeps the GOAWAY stream id, which aioquic ignores."""
-
-    def __init__(self, quic: QuicConnection) -> None:
-        super().__init__(quic)
-        self._readers: dict[int, _ControlStreamReader] = {}
-
-    @property
-    def goaway_id(self) -> int | None:
-        """Lowest stream id that the server will not process; None before GOAWAY."""
-        ids = (reader.goaway_id for reader in self._readers.values())
-        return next((value for value in ids if value is not None), None)
-
-    def handle_event(self, event: QuicEvent) -> list[H3Event]:
-        """Handle a QUIC event and return the resulting HTTP/3 events."""
-        if isinstance(event, StreamDataReceived) and event.stream_id % 4 == 3:
-            reader = self._readers.setdefault(event.stream_id, _ControlStreamReader())
-            reader.feed(event.data)
-        return super().handle_event(event)
-
-
-@dataclass(slots=True)
-class _RequestStream:
-    """State of one request stream and the events that were not read yet."""
-
-    stream_id: int
-    peer: str
-    events: asyncio.Queue[H3Event | Exception] = field(default_factory=asyncio.Queue)
-    has_response: bool = False
-    received_all: bool = False
-    sent_all: bool = False
-    stop_requested: bool = False
-
-    def fail(self, error: Exception) -> None:
-        """Make the reader of the response raise an error."""
-        if not self.received_all:
-            self.received_all = True
-            self.events.put_nowait(error)
-
-    def fail_reset(self, code: int) -> None:
-        """Make the reader raise the error that corresponds to a reset code."""
-        if code == ErrorCode.H3_REQUEST_REJECTED and not self.has_response:
-            self.fail(
-                NotRunError(
-                    "the service rejected the request", step="request", peer=self.peer
-                )
-            )
-        else:
-            self.fail(
-                OutcomeUnknownError(
-                    f"the stream was reset before the response ended (code {code:#x})",
-                    step="read response",
-                    peer=self.peer,
-                )
-            )
-
-    def push(self, event: HeadersReceived | DataReceived) -> None:
-        """Queue an event for the reader."""
-        self.has_response = True
-        self.received_all |= event.stream_ended
-        self.events.put_nowait(event)
-
-    async def headers_event(self) -> HeadersReceived:
-        """Wait for the headers of the final response, skipping interim ones."""
-        while True:
-            event = await self._next_event()
-            if isinstance(event, HeadersReceived) and not _is_interim(event):
-                return event
-
-    async def body(self, headers_event: HeadersReceived) -> AsyncIterator[bytes]:
-        """Yield the chunks of the body."""
-        ended = headers_event.stream_ended
-        while not ended:
-            event = await self._next_event()
-            ended = event.stream_ended
-            if isinstance(event, DataReceived) and event.data:
-                yield event.data
-
-    async def _next_event(self) -> HeadersReceived | DataReceived:
-        event = await self.events.get()
-        if isinstance(event, Exception):
-            raise event
-        return event
-
-
 class ClientConnection(QuicConnectionProtocol):
     """One HTTP/3 connection to a service; created by :func:`open_connection`.
 
@@ -196,7 +58,7 @@
         super().__init__(quic)
         self._h3 = GoawayH3Connection(quic)
         self._peer = str(peer)
-        self._streams: dict[int, _RequestStream] = {}
+        self._streams: dict[int, RequestStream] = {}
         self._established: asyncio.Future[None] = self._loop.create_future()
         self._send_progress = asyncio.Event()
         self._going_away = asyncio.Event()
@@ -272,7 +134,7 @@
                 peer=self._peer,
             )
         headers = _request_headers(request, authority)
-        stream = _RequestStream(self._quic.get_next_available_stream_id(), self._peer)
+        stream = RequestStream(self._quic.get_next_available_stream_id(), self._peer)
         if not self._streams:
             self._in_use_since = self._loop.time()
         self._streams[stream.stream_id] = stream
@@ -311,7 +173,7 @@
                 stream.push(h3_event)
         self._check_goaway()
 
-    async def _send_body(self, stream: _RequestStream, request: Request) -> None:
+    async def _send_body(self, stream: RequestStream, request: Request) -> None:
         try:
             async for chunk in request.body:
                 if stream.stop_requested or self._lost:
@@ -326,7 +188,7 @@
         except Exception as error:
             stream.fail(error)
 
-    async def _wait_for_send_buffer(self, stream: _RequestStream) -> None:
+    async def _wait_for_send_buffer(self, stream: RequestStream) -> None:
         """Wait until a stream has less than the limit of unacknowledged data."""
         while not stream.stop_requested and not self._lost:
             state = self._quic._streams.get(stream.stream_id)
@@ -335,7 +197,7 @@
             self._send_progress.clear()
             await self._send_progress.wait()
 
-    def _close_stream(self, stream: _RequestStream) -> None:
+    def _close_stream(self, stream: RequestStream) -> None:
         """Forget a stream; cancel the directions that are not complete."""
         self._streams.pop(stream.stream_id, None)
         if not self._lost:
@@ -457,7 +319,3 @@
 
 def _decode_headers(headers: list[tuple[bytes, bytes]]) -> Headers:
     return tuple((k.decode(), v.decode("latin-1")) for k, v in headers)
-
-
-def _is_interim(event: HeadersReceived) -> bool:
-    return dict(event.headers).get(b":status", b"").startswith(b"1")
--- a/src/cranberryhold/feeds.py
+++ b/src/cranberryhold/client/feeds.py
@@ -8,16 +8,16 @@
 from enum import Enum, auto
 from urllib.parse import parse_qsl, urlencode, urlsplit
 
+from cranberryhold.client.connection import ClientConnection
+from cranberryhold.client.retries import backoff
 from cranberryhold.clock import Clock
 from cranberryhold.exceptions import (
     FeedRefusedError,
     NotRunError,
     OutcomeUnknownError,
 )
-from cranberryhold.h3_client import ClientConnection
 from cranberryhold.manifest.models import RetryPolicy
 from cranberryhold.requests.exchange import Headers, Request, Response
-from cranberryhold.retries import backoff
 
 # Delay before the next attempt after a failed move; the old stream stays in use.
 MOVE_RETRY_S = 5.0
--- a/tests/baselines_requests.py
+++ b/tests/baselines_requests.py
@@ -8,9 +8,9 @@
 from random import Random
 from typing import Protocol
 
+from cranberryhold.client.retries import RetryBudget, backoff
 from cranberryhold.manifest.models import ClassKind, RequestClass, RetryPolicy, Service
 from cranberryhold.requests.exchange import Request
-from cranberryhold.retries import RetryBudget, backoff
 from tests.pipeline_fakes import TargetGroup
 
 
--- a/tests/test_caller.py
+++ b/tests/test_caller.py
@@ -9,6 +9,7 @@
 
 from cranberryhold.addresses import Address
 from cranberryhold.caller import Caller, parse_url
+from cranberryhold.client.feeds import resume_by_sequence
 from cranberryhold.exceptions import (
     AddressError,
     FeedRefusedError,
@@ -16,7 +17,6 @@
     NotRunError,
     OutcomeUnknownError,
 )
-from cranberryhold.feeds import resume_by_sequence
 from cranberryhold.manifest.models import RetryPolicy
 from tests.h3_service import h3_service
 from tests.waiting import until
@@ -195,7 +195,7 @@
 
 
 async def test_a_request_to_an_absent_service_has_not_run(files, monkeypatch):
-    monkeypatch.setattr("cranberryhold.h3_client.CONNECT_TIMEOUT_S", 0.1)
+    monkeypatch.setattr("cranberryhold.client.connection.CONNECT_TIMEOUT_S", 0.1)
     async with h3_service(files, respond_in_turn()) as service:
         url = service.url
     async with Caller.connect(url, insecure=True, retry=FAST) as caller:
--- a/tests/test_h3_client.py
+++ b/tests/test_h3_client.py
@@ -15,15 +15,15 @@
 from aioquic.quic.connection import QuicConnection
 from aioquic.quic.events import PingAcknowledged, StreamDataReceived
 
-from cranberryhold import h3_client
 from cranberryhold.addresses import Address
-from cranberryhold.exceptions import NotRunError, OutcomeUnknownError
-from cranberryhold.h3_client import (
+from cranberryhold.client import connection as connection_module
+from cranberryhold.client.connection import (
     SEND_BUFFER_BYTES,
     GoawayH3Connection,
     client_configuration,
     open_connection,
 )
+from cranberryhold.exceptions import NotRunError, OutcomeUnknownError
 from cranberryhold.requests.exchange import Request, bytes_body
 from tests.h3_service import h3_service
 from tests.waiting import until
@@ -182,7 +182,7 @@
 
 
 async def test_pings_keep_an_idle_feed_open(files, monkeypatch):
-    monkeypatch.setattr(h3_client, "PING_INTERVAL_S", 0.01)
+    monkeypatch.setattr(connection_module, "PING_INTERVAL_S", 0.01)
     async with (
         h3_service(files, never_respond) as service,
         connect_to(service, files) as c,
@@ -199,7 +199,7 @@
 
 
 async def test_a_service_that_stops_responding_is_detected(files, monkeypatch):
-    monkeypatch.setattr(h3_client, "IDLE_TIMEOUT_S", 0.3)
+    monkeypatch.setattr(connection_module, "IDLE_TIMEOUT_S", 0.3)
     async with (
         h3_service(files, never_respond) as service,
         connect_to(service, files) as c,
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -6,9 +6,14 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from cranberryhold.client.retries import (
+    RetryBudget,
+    backoff,
+    combined_outcome,
+    may_retry,
+)
 from cranberryhold.manifest.models import RetryPolicy
 from cranberryhold.requests.exchange import Outcome
-from cranberryhold.retries import RetryBudget, backoff, combined_outcome, may_retry
 
 NOT_RUN, UNKNOWN = Outcome.NOT_RUN, Outcome.UNKNOWN
 
--- a/tools/bench_load.py
+++ b/tools/bench_load.py
@@ -17,8 +17,8 @@
 
 from cranberryhold.addresses import Address
 from cranberryhold.caller import Caller, parse_url
+from cranberryhold.client.connection import client_configuration, open_connection
 from cranberryhold.exceptions import CranberryholdError
-from cranberryhold.h3_client import client_configuration, open_connection
 from tools.bench_parts import WARM_UP_S
 
 Operation = Callable[[], Awaitable[float]]
