Let a process rejoin if its clock was set back before its start

What callers saw: an instance that restarted after its clock had been set back was not used: the other members kept the record of the earlier process, and with it the state down, for up to two hours.

Cause: the incarnation is the start time, and records with an earlier one are ignored. The process itself heard of the later record, and took it for a second process with its name. Members that had forgotten the earlier process kept a tombstone, and did not tell.

Change: a process that hears of a later incarnation of its node id takes one after it, if the earlier process has ended, which is certain at the same control address, and is what the others say of a member that is down. Otherwise it reports a second process, as before. A join is answered with the tombstone, too. Sidecars issue idempotency keys for the new incarnation; keys of the former one stay valid where their records are.

Ruled out: ignoring start times, as two processes with one name would then take turns; changing the target of open connections, whose ids are routed by address and service.

--- a/src/cranberryhold/daemon.py
+++ b/src/cranberryhold/daemon.py
@@ -22,7 +22,7 @@
     Service,
     service_id,
 )
-from cranberryhold.membership.members import Role
+from cranberryhold.membership.members import MemberChange, Role
 from cranberryhold.metrics import sending_metrics
 from cranberryhold.node import Node, running_node
 from cranberryhold.requests.load_reports import LoadReporter
@@ -289,6 +289,10 @@
         pipeline = RequestPipeline(
             service, target, settings.node.keys, node.clock, upstream.run, pool
         )
+        node.members.changes.subscribe(
+            lambda change: _apply_incarnation(change, settings.node.node_id, pipeline)
+        )
+        pipeline.change_incarnation(node.local_member.incarnation)
         stack.enter_context(
             PeerRequestServer(
                 settings.node.keys,
@@ -330,6 +334,13 @@
         yield daemon
 
 
+def _apply_incarnation(
+    change: MemberChange, node_id: str, pipeline: RequestPipeline
+) -> None:
+    if change.after.node_id == node_id:
+        pipeline.change_incarnation(change.after.incarnation)
+
+
 async def _start_node(
     stack: AsyncExitStack, settings: NodeSettings, role: Role, **arguments: object
 ) -> Node:
--- a/src/cranberryhold/membership/members.py
+++ b/src/cranberryhold/membership/members.py
@@ -20,6 +20,11 @@
     return int(wall_s * 100) % _INCARNATION_MODULUS
 
 
+def incarnation_after(incarnation: int) -> int:
+    """Return the earliest incarnation that is later than another."""
+    return (incarnation + 1) % _INCARNATION_MODULUS
+
+
 def incarnation_is_later(first: int, second: int) -> bool:
     """Whether the first incarnation is later than the second.
 
@@ -58,7 +63,8 @@
     :param forward_address: receives forwarded packets.
     :param service: name of the service it serves; empty for entry instances.
     :param weight: share of new flows, 0 (none) to 100.
-    :param incarnation: start time in units of 10 ms, modulo 2^32.
+    :param incarnation: start time in units of 10 ms, modulo 2^32; later than that of
+        earlier processes of the instance even if its clock was set back.
     :param state: state according to the process that reported the record.
     :param version: incremented with each change that the member itself announces.
     """
--- a/src/cranberryhold/membership/membership.py
+++ b/src/cranberryhold/membership/membership.py
@@ -28,7 +28,13 @@
     UpdateQueue,
 )
 from cranberryhold.membership.links import OVERHEAD_BYTES, Link, RpcClient
-from cranberryhold.membership.members import LivePeers, Member, MemberState, MemberTable
+from cranberryhold.membership.members import (
+    LivePeers,
+    Member,
+    MemberState,
+    MemberTable,
+    incarnation_after,
+)
 from cranberryhold.membership.messages import (
     MAX_PAYLOAD_BYTES,
     Datagram,
@@ -256,9 +262,9 @@
                 self.counters.malformed += 1
                 continue
             if not self.merge(member, spread=spread):
-                stored = self.table.get(member.node_id)
-                if stored is not None and stored.supersedes(member):
-                    newer.append(stored)
+                newest = self._newest_record(member.node_id)
+                if newest is not None and newest.supersedes(member):
+                    newer.append(newest)
         return newer
 
     def merge(self, member: Member, *, spread: bool = True) -> bool:
@@ -280,6 +286,13 @@
             self._update_queued.set()
         return True
 
+    def _newest_record(self, node_id: str) -> Member | None:
+        """Return the newest known record of a member, also of a forgotten one."""
+        stored = self.table.get(node_id)
+        if stored is not None or node_id not in self._tombstones:
+            return stored
+        return self._tombstones[node_id][0]
+
     def _is_covered_by_tombstone(self, member: Member) -> bool:
         """Whether a record is ignored because it is covered by a tombstone.
 
@@ -299,19 +312,41 @@
         if not member.supersedes(self.local_member):
             return
         if member.incarnation != self.local_member.incarnation:
-            self.counters.duplicate_node_ids += 1
-            if self.counters.duplicate_node_ids == 1:
-                logger.error(
-                    "event=duplicate-node-id node={} other={} remedy={!r}",
-                    member.node_id,
-                    member.control_address,
-                    "give each instance its own node id, and check its clock",
-                )
+            self._on_later_incarnation(member)
             return
         self.counters.refutations += 1
         self._prober.on_refutation()
         self._update_local_member(version=member.version + 1)
 
+    def _on_later_incarnation(self, member: Member) -> None:
+        """Handle a record of the own node id with a later start time.
+
+        If its process has ended, the clock was set back in between, and this process
+        takes an even later incarnation, as its records would be ignored otherwise. A
+        process that had the same control address has ended.
+        """
+        local_member = self.local_member
+        at_same_address = member.control_address == local_member.control_address
+        if at_same_address or member.state is MemberState.DOWN:
+            incarnation = incarnation_after(member.incarnation)
+            logger.warning(
+                "event=incarnation-raised node={} from={} to={} reason={!r}",
+                local_member.node_id,
+                local_member.incarnation,
+                incarnation,
+                "the clock is behind the start of an earlier process",
+            )
+            self._update_local_member(incarnation=incarnation)
+            return
+        self.counters.duplicate_node_ids += 1
+        if self.counters.duplicate_node_ids == 1:
+            logger.error(
+                "event=duplicate-node-id node={} other={} remedy={!r}",
+                member.node_id,
+                member.control_address,
+                "give each instance its own node id, and check its clock",
+            )
+
     def _update_local_member(self, **changes: object) -> None:
         self.local_member = replace(self.local_member, **changes)
         self.table.merge(self.local_member)
--- a/src/cranberryhold/requests/idempotency.py
+++ b/src/cranberryhold/requests/idempotency.py
@@ -49,20 +49,20 @@
 class KeyIssuer:
     """Issues and parses keys, which are sealed with the key ring.
 
-    :param target: the target that issues the keys.
+    :ivar target: the target that issues the keys.
     """
 
     def __init__(self, keys: KeyRing, target: TargetRef, clock: Clock) -> None:
+        self.target = target
         self._keys = keys
-        self._target = target
         self._clock = clock
 
     def issue(self) -> str:
         """Return a new key, in URL-safe base64."""
         token = _TOKEN.pack(
-            self._target.address.pack(),
-            self._target.service_id,
-            self._target.incarnation,
+            self.target.address.pack(),
+            self.target.service_id,
+            self.target.incarnation,
             os.urandom(_NONCE_BYTES),
             self._clock.wall(),
         )
@@ -77,7 +77,7 @@
             address, service, incarnation, nonce, issued = _TOKEN.unpack(token)
         except (SealError, binascii.Error, struct.error, ValueError):
             return None
-        if service != self._target.service_id:
+        if service != self.target.service_id:
             return None
         target = TargetRef(Address.unpack(address), service, incarnation)
         return IdempotencyKey(target, nonce, issued)
--- a/src/cranberryhold/requests/pipeline.py
+++ b/src/cranberryhold/requests/pipeline.py
@@ -64,7 +64,8 @@
         pool: PeerPool | None = None,
     ) -> None:
         self._service_source = service_source
-        self._target = target
+        # Keys of former incarnations stay valid here, as their records are here.
+        self._own_targets = {target}
         self._clock = clock
         self._run_local = run_local
         self._pool = pool
@@ -105,6 +106,12 @@
             "pool": None if self._pool is None else self._pool.state(),
         }
 
+    def change_incarnation(self, incarnation: int) -> None:
+        """Issue idempotency keys for another incarnation of this target."""
+        target = replace(self._key_issuer.target, incarnation=incarnation)
+        self._own_targets.add(target)
+        self._key_issuer.target = target
+
     def begin_drain(self, grace_s: float) -> None:
         """Stop accepting requests: forward new ones for a while, then refuse them.
 
@@ -231,7 +238,7 @@
         key = self._key_issuer.parse(request.header(IDEMPOTENCY_KEY_HEADER))
         if key is None:
             return await self._refuse_without_key(request, stack)
-        if key.target != self._target:
+        if key.target not in self._own_targets:
             return await self._forward_to_key_target(key, request, stack)
         if self._is_grace_over and not self._executor.has_started(key):
             raise NotRunError("not run: this target is leaving", step="drain")
--- a/tests/test_idempotency.py
+++ b/tests/test_idempotency.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+from dataclasses import replace
 from random import Random
 
 import pytest
@@ -186,6 +187,23 @@
     assert group.upstreams[0].started == []
 
 
+async def test_keys_run_once_before_and_after_the_incarnation_is_raised() -> None:
+    # Guards against keys that name an incarnation which the peers do not know, after
+    # a process took a later incarnation than its clock gave.
+    group = TargetGroup(2, service)
+    first, second = group.pipelines
+    keys = [await new_key(first)]
+    raised = replace(group.peers.members[0], incarnation=200)
+    group.peers.members[0] = raised
+    first.change_incarnation(raised.incarnation)
+    keys.append(await new_key(first))
+    for key, pipelines in zip(keys, [(first, first), (second, first)], strict=True):
+        for pipeline in pipelines:
+            assert (await get_response(pipeline, line_request(key)))[0] == 200
+    assert len(group.upstreams[0].started) == len(keys)
+    assert group.upstreams[1].started == []
+
+
 @given(st.data())
 def test_altered_and_foreign_keys_are_rejected(data) -> None:
     own_target = TargetRef(TargetGroup.address(0), service().service_id, 100)
