Move joining and tombstones out of the membership module

Change: joining.py holds joins, the pull of the table and the probes of members that are down; tombstones.py the last records of members that are gone. The unused method wait_joined is removed. The random draws keep their order, so that seeded tests run as before.

Ruled out: a change of behaviour; the statements are the same but for names.

--- a/src/cranberryhold/membership/membership.py
+++ b/src/cranberryhold/membership/membership.py
@@ -27,6 +27,7 @@
     ByteBudget,
     UpdateQueue,
 )
+from cranberryhold.membership.joining import Joiner
 from cranberryhold.membership.links import OVERHEAD_BYTES, Link, RpcClient
 from cranberryhold.membership.members import (
     LivePeers,
@@ -36,53 +37,32 @@
     incarnation_after,
 )
 from cranberryhold.membership.messages import (
-    MAX_PAYLOAD_BYTES,
+    MAX_RECORDS_BYTES,
+    RECORDS_HEADER_BYTES,
     Datagram,
     Gossip,
     Heartbeat,
-    Join,
     Record,
     Records,
     RecordsRequest,
-    Welcome,
     decode_datagram,
     encode,
     encoded_record,
-    record_of,
 )
 from cranberryhold.membership.probing import Prober
+from cranberryhold.membership.tombstones import Tombstones
 
 FANOUT = 4
 """Members to which an update is gossiped at once. Four reach 98% of a cluster; probes
 carry it to the rest within about a second."""
 
-WELCOME_MEMBERS = 12
-"""Members that an instance which joins is told of, as far as they fit a datagram."""
-
 GOSSIP_DELAY_S = 0.02
 """Longest delay before updates are sent, so that one datagram carries several."""
 
-HEADER_BYTES = 200
-"""Space reserved in a datagram for everything but piggybacked records."""
-
-RECONNECT_INTERVAL_S = 5.0
-"""Mean time between attempts to reach members that are down."""
-
-FAST_RECONNECT_INTERVAL_S = 0.5
-"""The same after a success, which shows that a partition has healed."""
-
-ROUNDS_PER_CONTACT = 6
-"""Every sixth reconnect round also sends a join to one of the contacts."""
-
 RETENTION_S = 2 * 3600.0
 """Seconds for which a member that is down is remembered and probed again: longer than
 a loss of connectivity between regions, which lasts for up to an hour."""
 
-JOIN_RETRY_S = (0.5, 5.0)
-PULL_TIMEOUT_S = 3.0
-PULL_ATTEMPTS = 3
-BUCKETS_PER_PULL = 16
-
 Handler = Callable[[Datagram, Address], None]
 
 
@@ -124,18 +104,21 @@
         self.heartbeat: Callable[[], Heartbeat] = Heartbeat
         self.on_heartbeat: Callable[[Address, Heartbeat], None] = _ignore_heartbeat
         self._link = link
-        self._rpc_client = rpc_client
-        self._contacts = [c for c in contacts if c != local_member.control_address]
         self._update_queued = asyncio.Event()
-        self._joined = asyncio.Event()
         self._down_since: dict[str, float] = {}
-        self._tombstones: dict[str, tuple[Member, float]] = {}
+        self._tombstones = Tombstones(clock)
         self._prober = Prober(self)
+        self._joiner = Joiner(
+            self,
+            [c for c in contacts if c != local_member.control_address],
+            rpc_client,
+            members_down=lambda: list(self._down_since),
+            is_reachable=self._prober.is_reachable,
+        )
         self._anti_entropy = AntiEntropy(self)
         self._handlers: dict[type[Datagram], Handler] = {
-            Join: self._on_join,
-            Welcome: self._on_welcome,
             Gossip: self._on_gossip,
+            **self._joiner.handlers,
             **self._prober.handlers,
             **self._anti_entropy.handlers,
         }
@@ -152,9 +135,9 @@
         """
         functions = (
             self._receive,
-            self._bootstrap,
+            self._joiner.bootstrap,
             self._gossip_updates,
-            self._reconnect,
+            self._joiner.reconnect,
             self._forget_expired,
             self._prober.probe_forever,
             self._prober.expire_suspicions,
@@ -167,10 +150,6 @@
             await self._prober.indirect_probes.cancel()
             self._announce_departure()
 
-    async def wait_joined(self) -> None:
-        """Wait until another member is known."""
-        await self._joined.wait()
-
     def announce(
         self, *, weight: int | None = None, leaving: bool | None = None
     ) -> None:
@@ -231,8 +210,8 @@
         if not self.updates:
             return records
         max_bytes = min(
-            MAX_PAYLOAD_BYTES - HEADER_BYTES - sum(map(len, records)),
-            int(self.budget.available()) - HEADER_BYTES,
+            MAX_RECORDS_BYTES - sum(map(len, records)),
+            int(self.budget.available()) - RECORDS_HEADER_BYTES,
         )
         return records + self.updates.take_for_piggyback(max_bytes, len(self.table))
 
@@ -262,7 +241,9 @@
                 self.counters.malformed += 1
                 continue
             if not self.merge(member, spread=spread):
-                newest = self._newest_record(member.node_id)
+                newest = self.table.get(member.node_id) or self._tombstones.get(
+                    member.node_id
+                )
                 if newest is not None and newest.supersedes(member):
                     newer.append(newest)
         return newer
@@ -272,10 +253,10 @@
         if member.node_id == self.local_member.node_id:
             self._on_record_of_local_member(member)
             return False
-        if self._is_covered_by_tombstone(member) or not self.table.merge(member):
+        if self._is_gone(member) or not self.table.merge(member):
             return False
-        self._tombstones.pop(member.node_id, None)
-        self._joined.set()
+        self._tombstones.discard(member.node_id)
+        self._joiner.joined.set()
         self._prober.on_record_merged(member)
         if member.state is MemberState.DOWN:
             self._down_since[member.node_id] = self.clock.monotonic()
@@ -286,26 +267,18 @@
             self._update_queued.set()
         return True
 
-    def _newest_record(self, node_id: str) -> Member | None:
-        """Return the newest known record of a member, also of a forgotten one."""
-        stored = self.table.get(node_id)
-        if stored is not None or node_id not in self._tombstones:
-            return stored
-        return self._tombstones[node_id][0]
-
-    def _is_covered_by_tombstone(self, member: Member) -> bool:
-        """Whether a record is ignored because it is covered by a tombstone.
+    def _is_gone(self, member: Member) -> bool:
+        """Whether a record is ignored because its member is gone.
 
         A member that is reported down before it was known gets a tombstone too, so
         that an older record that arrives later has no effect.
         """
-        tombstone = self._tombstones.get(member.node_id)
-        if tombstone is not None and not member.supersedes(tombstone[0]):
+        if self._tombstones.covers(member):
             return True
         known = self.table.get(member.node_id) is not None
         if known or member.state is not MemberState.DOWN:
             return False
-        self._tombstones[member.node_id] = (member, self.clock.monotonic())
+        self._tombstones.add(member)
         return True
 
     def _on_record_of_local_member(self, member: Member) -> None:
@@ -372,35 +345,6 @@
                 self.counters.malformed += 1
                 logger.exception("event=datagram-failed peer={}", sender)
 
-    async def _bootstrap(self) -> None:
-        delay, max_delay = JOIN_RETRY_S
-        while self._contacts and not self._joined.is_set():
-            for contact in self._contacts:
-                self.send(Join(record_of(self.local_member)), contact)
-            try:
-                async with asyncio.timeout(delay * (0.5 + self.rng.random())):
-                    await self._joined.wait()
-            except TimeoutError:
-                delay = min(2 * delay, max_delay)
-        if self._rpc_client is not None and self._joined.is_set():
-            await self._pull_table(self._rpc_client)
-
-    async def _pull_table(self, rpc_client: RpcClient) -> None:
-        """Pull all records, each part from another member to distribute the load."""
-        buckets = self.rng.sample(range(BUCKETS), BUCKETS)
-        for start in range(0, BUCKETS, BUCKETS_PER_PULL):
-            request = RecordsRequest(buckets=buckets[start : start + BUCKETS_PER_PULL])
-            for member in self.live_peers.pick(self.rng, PULL_ATTEMPTS):
-                try:
-                    answer = await rpc_client.call(
-                        member.control_address, request, PULL_TIMEOUT_S
-                    )
-                except PeerError:
-                    continue
-                if isinstance(answer, Records):
-                    self.merge_records(answer.records, spread=False)
-                    break
-
     async def handle_records_request(self, request: RecordsRequest) -> Records:
         """Return the records of the requested buckets."""
         digest = self._anti_entropy.digest
@@ -414,32 +358,16 @@
         )
 
     async def _gossip_updates(self) -> None:
-        max_bytes = MAX_PAYLOAD_BYTES - HEADER_BYTES
         while True:
             await self._update_queued.wait()
             await self.clock.sleep(GOSSIP_DELAY_S * self.rng.random())
             self._update_queued.clear()
-            while records := self.updates.take_unsent(max_bytes):
+            while records := self.updates.take_unsent(MAX_RECORDS_BYTES):
                 message = Gossip(records)
                 for member in self.live_peers.pick(self.rng, FANOUT):
                     await self.budget.wait_for(len(records) * 100)
                     self.send(message, member.control_address)
 
-    async def _reconnect(self) -> None:
-        """Probe members that are down and contacts, so that partitions heal."""
-        rounds, reached = 0, False
-        while True:
-            interval = FAST_RECONNECT_INTERVAL_S if reached else RECONNECT_INTERVAL_S
-            await self.clock.sleep(interval * (0.5 + self.rng.random()))
-            rounds, reached = rounds + 1, False
-            if rounds % ROUNDS_PER_CONTACT == 0 and self._contacts:
-                contact = self.rng.choice(self._contacts)
-                self.send(Join(record_of(self.local_member)), contact)
-            if self._down_since:
-                member = self.table.get(self.rng.choice(list(self._down_since)))
-                if member is not None:
-                    reached = await self._prober.is_reachable(member)
-
     async def _forget_expired(self) -> None:
         while True:
             await self.clock.sleep(RETENTION_S / 100)
@@ -447,15 +375,13 @@
             for node_id, since in list(self._down_since.items()):
                 if since <= expiry:
                     self._forget_member(node_id)
-            for node_id, (_, since) in list(self._tombstones.items()):
-                if since <= expiry:
-                    del self._tombstones[node_id]
+            self._tombstones.remove_expired(expiry)
 
     def _forget_member(self, node_id: str) -> None:
         member = self.table.get(node_id)
         del self._down_since[node_id]
         if member is not None:
-            self._tombstones[node_id] = (member, self.clock.monotonic())
+            self._tombstones.add(member)
             self.table.forget(node_id)
             self._anti_entropy.digest.forget(node_id)
 
@@ -469,23 +395,6 @@
 
     # Handlers of datagrams.
 
-    def _on_join(self, message: Join, sender: Address) -> None:
-        if message.record.node_id == self.local_member.node_id:
-            return
-        newer = self.merge_records([message.record])
-        max_bytes = MAX_PAYLOAD_BYTES - HEADER_BYTES
-        records = [encoded_record(self.local_member)] + [
-            encoded_record(m) for m in newer
-        ]
-        for member in self.live_peers.pick(self.rng, WELCOME_MEMBERS):
-            records.append(encoded_record(member))
-        while sum(map(len, records)) > max_bytes:
-            records.pop()
-        self.send(Welcome(records), sender)
-
-    def _on_welcome(self, message: Welcome, sender: Address) -> None:
-        self.merge_records(message.updates, spread=self._joined.is_set())
-
     def _on_gossip(self, message: Gossip, sender: Address) -> None:
         self.merge_records(message.updates)
 
--- a/src/cranberryhold/membership/messages.py
+++ b/src/cranberryhold/membership/messages.py
@@ -19,6 +19,9 @@
 
 SEAL_BYTES = 29
 MAX_PAYLOAD_BYTES = MAX_DATAGRAM_BYTES - SEAL_BYTES
+RECORDS_HEADER_BYTES = 200
+"""Space reserved in a datagram with records for everything but them."""
+MAX_RECORDS_BYTES = MAX_PAYLOAD_BYTES - RECORDS_HEADER_BYTES
 
 
 class Record(Struct, array_like=True, frozen=True, gc=False):
