Use a target that restarts after its clock was set back

What callers saw: a target that restarted after the clock of its machine had been set back got no flows for all its life. Its sidecar acknowledged its heartbeats, and ignored them.

Cause: start times order the incarnations of a target, so that a late heartbeat of an earlier one has no effect. A start with an earlier time of day was taken for that.

Change: an incarnation with an earlier start replaces the newest one if it was not known before, and keeps sending heartbeats while the newest one has ended, does not listen or is silent for longer than the time-out. The first such heartbeat is still ignored, as it may be a late one.

Ruled out: accepting the first one, since the flows of a target that is silent for a moment would end; ordering by number, which starts anew with each incarnation.

--- a/src/cranberryhold/flows/target_state.py
+++ b/src/cranberryhold/flows/target_state.py
@@ -1,5 +1,6 @@
 """State of a sidecar's target, derived from its heartbeats."""
 
+from collections import deque
 from enum import Enum
 from math import inf
 
@@ -22,6 +23,8 @@
 
 # Heartbeats of an incarnation are numbered from 1.
 FIRST_HEARTBEAT_SEQUENCE = 1
+# Incarnations whose late heartbeats are recognized.
+MAX_FORMER_INCARNATIONS = 16
 
 
 class TargetPhase(Enum):
@@ -75,6 +78,9 @@
         self.update_timing(heartbeat_interval_s, address_reuse_s)
         self._last_heartbeat: Heartbeat | None = None
         self._last_heartbeat_at = 0.0
+        self._former: deque[tuple[int, str]] = deque(maxlen=MAX_FORMER_INCARNATIONS)
+        # Last ignored heartbeat of an unknown incarnation with an earlier start.
+        self._earlier_start: Heartbeat | None = None
         self._cold_until = 0.0
         self._ended = False
         self._absent = False
@@ -160,13 +166,17 @@
         """Update the state with a heartbeat.
 
         Heartbeats of an earlier incarnation and heartbeats that arrive out of order
-        are ignored.
+        are ignored. Start times order the incarnations, unless the clock was set back.
 
         :param now: seconds of a clock that also counts while the instance is
             suspended.
         """
         previous = self._last_heartbeat
-        if previous is not None and _precedes(heartbeat, previous):
+        if (
+            previous is not None
+            and _precedes(heartbeat, previous)
+            and not self._is_successor(heartbeat, previous, now)
+        ):
             return BeatOutcome.OUTDATED
         is_new = previous is None or _incarnation(heartbeat) != _incarnation(previous)
         if not is_new and self._ended:
@@ -174,18 +184,44 @@
         if previous is None or previous.service != heartbeat.service:
             self._service_tag = service_tag(heartbeat.service)
         self._last_heartbeat = heartbeat
+        self._earlier_start = None
         self._presumed_at = None
         self._absent = False
         self._last_heartbeat_at = now
         self._cold_until = now + heartbeat.cold_for_s
         if is_new:
             self._ended = False
+            if previous is not None:
+                self._former.append(_incarnation(previous))
             return BeatOutcome.NEW_INCARNATION
         drains = heartbeat.phase is TargetPhase.DRAINING
         if drains and previous is not None and previous.phase is TargetPhase.READY:
             return BeatOutcome.DRAINS
         return BeatOutcome.REFRESHED
 
+    def _is_successor(
+        self, heartbeat: Heartbeat, newest: Heartbeat, now: float
+    ) -> bool:
+        """Whether a target with an earlier start time runs in place of the newest one.
+
+        It does if it keeps sending heartbeats while the newest one sends none. One
+        heartbeat may be a late one of an incarnation that a former process knew.
+        """
+        incarnation = _incarnation(heartbeat)
+        is_replaceable = self._ended or self._absent or self.is_overdue(now)
+        if (
+            not is_replaceable
+            or incarnation == _incarnation(newest)
+            or incarnation in self._former
+        ):
+            return False
+        previous, self._earlier_start = self._earlier_start, heartbeat
+        return (
+            previous is not None
+            and _incarnation(previous) == incarnation
+            and previous.sequence < heartbeat.sequence
+        )
+
     def mark_absent(self) -> bool:
         """Record that no program listens at the target's address.
 
--- a/tests/test_flow_state.py
+++ b/tests/test_flow_state.py
@@ -302,6 +302,48 @@
         assert state.record_heartbeat(late, 1.1) is BeatOutcome.OUTDATED
         assert state.service == OTHER
 
+    @pytest.mark.parametrize("end", ["reported", "not listening", "silent"])
+    def test_a_target_whose_clock_was_set_back_is_used_after_a_restart(self, end):
+        # Guards against a target that gets no flows for all its life, as its start
+        # time is earlier than that of the target before it.
+        state = self.state()
+        state.record_heartbeat(heartbeat(started_ms=5000, sequence=8), 0.0)
+        if end == "reported":
+            state.mark_ended("i-1")
+        elif end == "not listening":
+            state.mark_absent()
+        restarted = {"target_id": "i-2", "started_ms": 3500}
+        for sequence in range(1, 5):
+            now = 0.5 + sequence
+            state.record_heartbeat(heartbeat(sequence=sequence, **restarted), now)
+        assert state.last_heartbeat.target_id == "i-2"
+        assert state.accepts_flows(now)
+
+    def test_late_heartbeats_of_an_earlier_incarnation_do_not_replace_a_target(self):
+        state = self.state()
+        state.record_heartbeat(heartbeat(started_ms=10, sequence=3), 0.0)
+        state.record_heartbeat(heartbeat(target_id="i-2", started_ms=20), 1.0)
+        state.mark_absent()
+        for sequence in (4, 5, 6):
+            late = heartbeat(started_ms=10, sequence=sequence)
+            assert state.record_heartbeat(late, 5.0) is BeatOutcome.OUTDATED
+
+    def test_an_earlier_start_does_not_replace_a_target_that_sends(self):
+        state = self.state()
+        for number in range(1, 9):
+            now = 0.9 * number
+            state.record_heartbeat(heartbeat(started_ms=20, sequence=number), now)
+            earlier = heartbeat(target_id="i-0", started_ms=10, sequence=number)
+            outcome = state.record_heartbeat(earlier, now + 0.1)
+            assert outcome is BeatOutcome.OUTDATED
+
+    def test_one_late_heartbeat_does_not_replace_a_silent_target(self):
+        state = self.state()
+        state.record_heartbeat(heartbeat(started_ms=20), 0.0)
+        late = heartbeat(target_id="i-0", started_ms=10, sequence=7)
+        for now in (5.0, 6.0):
+            assert state.record_heartbeat(late, now) is BeatOutcome.OUTDATED
+
     def test_the_same_id_with_a_later_start_is_a_new_incarnation(self):
         state = self.state()
         state.record_heartbeat(heartbeat(started_ms=10, sequence=50), 0.0)
