Show what a restored store does to daemons that remember its numbers

Tests that fail on the present code, listed as known failures until their fixes: a change is missed below a revision that was assigned again; a lease is renewed, written under or revoked although another member holds its id now; a store that is behind, or has no configuration, confirms the one in effect; and an entry instance that starts after the restore resets an open flow of a sidecar that has not registered again.

--- a/tests/flow_site.py
+++ b/tests/flow_site.py
@@ -98,6 +98,7 @@
         ) = free_ports(6)
         self.lines = LogLines()
         self.targets: list[Target] = []
+        self._daemons: dict[int, asyncio.Task[None]] = {}
         self.caller_ip = machine_ip(15)
         self._caller = UdpSocket(self.caller_ip, self.packet_port)
         stack.callback(self._caller.socket.close)
@@ -128,9 +129,14 @@
             core, store, read_settings=lambda: settings, on_settings=lambda _: None
         )
         socket_handlers = self._stack.enter_context(core.open_sockets())
-        self._run(daemon.run(socket_handlers, None))
+        self._daemons[number] = self._run(daemon.run(socket_handlers, None))
         return core
 
+    async def kill(self, number: int) -> None:
+        """End the daemon of an entry instance without notice to the others."""
+        self._daemons[number].cancel()
+        await asyncio.wait([self._daemons[number]])
+
     async def start_sidecar(self, number: int) -> SidecarCore:
         """Start a sidecar and its target, and send the target's first heartbeat."""
         ip = machine_ip(number)
@@ -218,7 +224,7 @@
     def _connect_store(self, telemetry: Telemetry) -> PlatformStore:
         return PlatformStore(HttpClient(self._store_address, 1 << 20), telemetry.count)
 
-    def _run(self, coroutine) -> None:
+    def _run(self, coroutine) -> asyncio.Task[None]:
         task = asyncio.create_task(coroutine)
 
         async def stop() -> None:
@@ -226,6 +232,7 @@
             await asyncio.wait([task])
 
         self._stack.push_async_callback(stop)
+        return task
 
 
 def _monotonic() -> Callable[[], float]:
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -1,22 +1,36 @@
 """A store that comes back from an older copy and assigns numbers again."""
 
-from collections.abc import AsyncIterator
+import asyncio
+from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
+from random import Random
 
 import pytest
 
 from cranberryhold.addresses import Address
+from cranberryhold.flows.adoption import ConfigurationAdopter
+from cranberryhold.flows.configuration import ConfigurationFollower
+from cranberryhold.flows.dependency import Dependency
 from cranberryhold.flows.http_client import HttpClient
 from cranberryhold.flows.leased_store import LeaseLostError, StoreHistoryLostError
+from cranberryhold.flows.route_table import RouteTable
 from cranberryhold.flows.store_epoch import EpochTracker
 from cranberryhold.flows.telemetry import Telemetry
+from cranberryhold.platform.operator_configuration import OperatorConfiguration
 from cranberryhold.platform.store import PlatformStore
 from emulator.metadata_store import MetadataStore, metadata_store
-from tests.flow_simulation import LogLines
+from emulator.platform_files import configuration_document
+from tests.flow_simulation import ACK, SYN, LogLines
+from tests.flow_site import Site, machine_ip, running_site
 from tests.sockets import LOOPBACK_IP, free_port
+from tests.waiting import until
 
 KEY = "op/config"
 WAIT_S = 0.1
+LIMIT_S = 1.5
+RETRANSMISSION_S = 0.2
+# A member whose registration was lost has registered again by then.
+REGISTRATION_LIMIT_S = 8.0
 
 
 def create_telemetry() -> Telemetry:
@@ -61,3 +75,160 @@
         await stand_in.restore(copy)
         with pytest.raises(LeaseLostError):
             await store.renew_lease(lease)
+
+
+def document(version: int) -> bytes:
+    return configuration_document(version, "198.18.0.1", {443: "core"})
+
+
+class RestoringStore(PlatformStore):
+    """Runs a function once, between two responses that the follower handles.
+
+    A frozen process, or one whose response was under way for long, handles a response
+    of before the restore after it.
+    """
+
+    def __init__(self, client: HttpClient, before_watch: Callable[[], Awaitable[None]]):
+        super().__init__(client, lambda _: None)
+        self._before_watch = before_watch
+        self.watches = 0
+
+    async def wait_for_change(self, *arguments, **options):
+        self.watches += 1
+        if self.watches == 1:
+            await self._before_watch()
+        return await super().wait_for_change(*arguments, **options)
+
+
+@asynccontextmanager
+async def following(store: PlatformStore) -> AsyncIterator[RouteTable]:
+    """Follow the configuration in the store inside the context."""
+    monotonic = asyncio.get_running_loop().time
+    routes, telemetry = RouteTable(60.0, LIMIT_S), create_telemetry()
+    adopter = ConfigurationAdopter(
+        OperatorConfiguration(),
+        routes,
+        telemetry,
+        monotonic=monotonic,
+        on_change=lambda: None,
+    )
+    follower = ConfigurationFollower(
+        adopter,
+        store,
+        telemetry,
+        dependency=Dependency("configuration", telemetry, monotonic),
+        random=Random(1),
+        monotonic=monotonic,
+        limit_s=LIMIT_S,
+    )
+    task = asyncio.create_task(follower.run())
+    try:
+        yield routes
+    finally:
+        task.cancel()
+
+
+async def test_a_change_below_a_revision_that_was_assigned_again_is_adopted() -> None:
+    # Guards against a configuration that stays in force because the daemon waits for
+    # changes after a revision of before the restore.
+    async with running_store() as (stand_in, store):
+        await stand_in.put(KEY, document(1))
+        copy = stand_in.copy()
+        for version in (2, 3):
+            await stand_in.put(KEY, document(version))
+
+        async def restore() -> None:
+            await stand_in.restore(copy)
+            for version in (3, 4):
+                await stand_in.put(KEY, document(version))
+
+        async with following(RestoringStore(store._client, restore)) as routes:
+            await until(lambda: routes.version == 4, LIMIT_S)
+
+
+async def test_a_lease_that_was_assigned_to_another_member_is_lost() -> None:
+    # Guards against a member that stays unregistered because it renews the lease of
+    # another member.
+    async with running_store() as (stand_in, store):
+        copy = stand_in.copy()
+        lost = await store.grant_lease(5.0)
+        await stand_in.restore(copy)
+        assert await PlatformStore(store._client, lambda _: None).grant_lease(5.0)
+        with pytest.raises(LeaseLostError):
+            await store.renew_lease(lost)
+        with pytest.raises(LeaseLostError):
+            await store.write("a", b"", expected_revision=0, lease=lost)
+
+
+async def test_a_lost_lease_is_not_revoked_for_the_member_that_now_holds_it() -> None:
+    # Guards against a stopping member that removes the entry of another member.
+    async with running_store() as (stand_in, store):
+        copy = stand_in.copy()
+        lost = await store.grant_lease(5.0)
+        await stand_in.restore(copy)
+        lease = await store.grant_lease(5.0)
+        await store.write("other", b"", expected_revision=0, lease=lease)
+        await store.end_lease(lost)
+        assert "other" in stand_in.keys
+
+
+@pytest.mark.parametrize("stored", [1, None])
+async def test_a_store_that_is_behind_confirms_no_configuration(
+    stored: int | None,
+) -> None:
+    # Guards against a reset of callers of an added route by a daemon that takes its
+    # configuration for the newest, as the restored store holds an older one or none.
+    async with running_store() as (stand_in, store):
+        if stored is not None:
+            await stand_in.put(KEY, document(stored))
+        copy = stand_in.copy()
+        await stand_in.put(KEY, document(2))
+
+        async def restore() -> None:
+            await stand_in.restore(copy)
+
+        async with following(RestoringStore(store._client, restore)) as routes:
+            await until(lambda: routes.version == 2)
+            monotonic = asyncio.get_running_loop().time
+            await until(lambda: not routes.is_current(monotonic()), 2 * LIMIT_S)
+            await asyncio.sleep(LIMIT_S)
+            assert not routes.is_current(monotonic())
+
+
+async def send_until_answered(site: Site, entry: int, port: int):
+    """Repeat a packet of an open flow like a caller; return the first answer."""
+
+    async def send() -> None:
+        while True:
+            site.send(entry, ACK, port, b"request")
+            await asyncio.sleep(RETRANSMISSION_S)
+
+    sending = asyncio.create_task(send())
+    try:
+        async with asyncio.timeout(REGISTRATION_LIMIT_S):
+            return await site.receive()
+    finally:
+        sending.cancel()
+
+
+async def test_no_flow_is_reset_while_members_are_missing_in_a_restored_store() -> None:
+    # Guards against a reset of an open flow by an entry instance that starts after the
+    # restore and takes the members that are registered then for all of them.
+    async with running_site() as site:
+        await site.start_entry(1)
+        await site.start_sidecar(4)
+        registered = f"cranberryhold/members/{machine_ip(4)}"
+        await until(lambda: registered in site.store.keys)
+        copy = site.store.copy()
+        holder = await site.start_sidecar(5)
+        lost = f"cranberryhold/members/{machine_ip(5)}"
+        await until(lambda: lost in site.store.keys)
+        port = 40000
+        while not len(holder.datapath.flows):
+            port += 1
+            site.send(1, SYN, port)
+            assert (await site.receive()).syn
+        await site.kill(1)
+        await site.store.restore(copy)
+        await site.start_entry(2)
+        assert not (await send_until_answered(site, 2, port)).rst
