Treat a lease of before a restore as lost

A member whose lease a restored store had assigned to another member would stay unregistered: its renewals succeed, and keep the other's lease alive. When it stops, it revokes the other's lease, and with it the entry of a member that runs.

Cause: the id of a lease is kept across calls without the epoch in which it was granted, as the revision of a watch was. A lease now contains its epoch; a renewal or a write that is answered in another one reports the lease as lost, and a lease of an earlier epoch is not revoked. A revocation that is sent before any response has shown the new epoch is not covered; the other member finds its lease lost at the next renewal then.

--- a/src/cranberryhold/flows/announcement.py
+++ b/src/cranberryhold/flows/announcement.py
@@ -17,6 +17,7 @@
     STORE_BACKOFF_S,
     LeasedStore,
     LeaseLostError,
+    StoreLease,
 )
 from cranberryhold.flows.member_list import (
     MEMBERS_PREFIX,
@@ -64,7 +65,7 @@
         self._random = random
         self._on_members = on_members
         self._dependency = dependency
-        self._lease: int | None = None
+        self._lease: StoreLease | None = None
         self._entry_written = False
         self._revision = 0
         # Of two members that register at about the same time, at least one must find
@@ -83,8 +84,8 @@
                 if self._needs_exact_list or loop.time() >= next_read_at:
                     await self._read_members()
                     next_read_at = loop.time() + MEMBERS_READ_INTERVAL_S
-            except LeaseLostError:
-                self._telemetry.event("lease-lost", key=self._key, lease=self._lease)
+            except LeaseLostError as error:
+                self._telemetry.event("lease-lost", key=self._key, error=error)
                 self._lease = None
                 await asyncio.sleep(backoff.next_delay_s())
             except StoreError as error:
@@ -116,7 +117,7 @@
             await self._write_entry(self._lease)
             self._entry_written = True
 
-    async def _write_entry(self, lease: int) -> None:
+    async def _write_entry(self, lease: StoreLease) -> None:
         """Write the entry, replacing any entry that is already there."""
         while True:
             result = await self._store.write(
@@ -126,7 +127,11 @@
             if result.applied:
                 self._needs_exact_list = True
                 self._telemetry.event(
-                    "announced", key=self._key, revision=result.revision, lease=lease
+                    "announced",
+                    key=self._key,
+                    revision=result.revision,
+                    lease=lease.lease_id,
+                    epoch=lease.epoch,
                 )
                 return
 
--- a/src/cranberryhold/flows/leased_store.py
+++ b/src/cranberryhold/flows/leased_store.py
@@ -19,7 +19,7 @@
 
 
 class LeaseLostError(StoreError):
-    """The lease has expired or was revoked; a new one is needed."""
+    """The lease has expired, was revoked or lost by the store; a new one is needed."""
 
 
 class StorePosition(Struct, frozen=True):
@@ -34,6 +34,17 @@
     revision: int
 
 
+class StoreLease(Struct, frozen=True):
+    """A lease that was granted.
+
+    :param lease_id: id, unique within the epoch.
+    :param epoch: epoch of the store in which it was granted.
+    """
+
+    lease_id: int
+    epoch: int
+
+
 class StoredItem(Struct, frozen=True):
     """A key and its value.
 
@@ -114,20 +125,23 @@
             the store was restored since the position was obtained.
         """
 
-    async def grant_lease(self, ttl_s: float) -> int:
-        """Create a lease and return its id."""
+    async def grant_lease(self, ttl_s: float) -> StoreLease:
+        """Create a lease."""
 
-    async def renew_lease(self, lease: int) -> None:
+    async def renew_lease(self, lease: StoreLease) -> None:
         """Restart the time to live of a lease.
 
         :raises LeaseLostError: if the lease has expired.
         """
 
-    async def end_lease(self, lease: int) -> None:
-        """Revoke a lease; the store deletes the items written under it."""
+    async def end_lease(self, lease: StoreLease) -> None:
+        """Revoke a lease; the store deletes the items written under it.
+
+        A lease of an earlier epoch is not revoked, as its id may be assigned again.
+        """
 
     async def write(
-        self, key: str, value: bytes, *, expected_revision: int, lease: int
+        self, key: str, value: bytes, *, expected_revision: int, lease: StoreLease
     ) -> WriteResult:
         """Write if the item's revision is the expected one (0: no item).
 
--- a/src/cranberryhold/platform/store.py
+++ b/src/cranberryhold/platform/store.py
@@ -10,10 +10,12 @@
 from cranberryhold.flows.http_client import HttpClient
 from cranberryhold.flows.http_messages import HttpResponse
 from cranberryhold.flows.leased_store import (
+    UNKNOWN_EPOCH,
     LeaseLostError,
     ReadResult,
     StoredItem,
     StoreHistoryLostError,
+    StoreLease,
     StorePosition,
     WriteResult,
 )
@@ -71,6 +73,7 @@
         self._client = client
         self._count = count
         self._on_epoch = on_epoch
+        self._newest_epoch = UNKNOWN_EPOCH
 
     async def get(self, key: str) -> ReadResult:
         """Return the current state of an item."""
@@ -121,43 +124,46 @@
         item = changes[-1].to_stored_item() if changes else None
         return ReadResult(item, StorePosition(epoch, found.store_revision))
 
-    async def grant_lease(self, ttl_s: float) -> int:
-        """Create a lease and return its id."""
+    async def grant_lease(self, ttl_s: float) -> StoreLease:
+        """Create a lease."""
         response = await self._call(
             "POST", _LEASE_PATH, body={"ttlMs": int(ttl_s * 1000)}
         )
         expect_success(response, _LEASE_PATH)
-        return decode_body(response, _Lease, _LEASE_PATH).lease
+        granted = decode_body(response, _Lease, _LEASE_PATH)
+        return StoreLease(granted.lease, epoch_of(response))
 
-    async def renew_lease(self, lease: int) -> None:
+    async def renew_lease(self, lease: StoreLease) -> None:
         """Restart the time to live of a lease."""
-        response = await self._call("POST", f"{_KEEP_PATH}/{lease}")
-        if response.status == 404:
-            raise LeaseLostError(
-                "the lease has expired; create a new one", step=_KEEP_PATH
-            )
+        response = await self._call("POST", f"{_KEEP_PATH}/{lease.lease_id}")
+        _expect_lease(response, lease, _KEEP_PATH)
         expect_success(response, _KEEP_PATH)
 
-    async def end_lease(self, lease: int) -> None:
+    async def end_lease(self, lease: StoreLease) -> None:
         """Revoke a lease; the store deletes the items written under it."""
-        response = await self._call("DELETE", f"{_LEASE_END_PATH}/{lease}")
+        if lease.epoch != self._newest_epoch:
+            return
+        response = await self._call("DELETE", f"{_LEASE_END_PATH}/{lease.lease_id}")
         if response.status != 404:
             expect_success(response, _LEASE_END_PATH)
 
     async def write(
-        self, key: str, value: bytes, *, expected_revision: int, lease: int
+        self, key: str, value: bytes, *, expected_revision: int, lease: StoreLease
     ) -> WriteResult:
         """Write if the item's revision is the expected one (0: no item)."""
         transaction = {
             "expected": [{"key": key, "revision": expected_revision}],
-            "puts": [{"key": key, "value": b64encode(value).decode(), "lease": lease}],
+            "puts": [
+                {
+                    "key": key,
+                    "value": b64encode(value).decode(),
+                    "lease": lease.lease_id,
+                }
+            ],
             "deletes": [],
         }
         response = await self._call("POST", _TRANSACTION_PATH, body=transaction)
-        if response.status == 404:
-            raise LeaseLostError(
-                "the lease has expired; create a new one", step=_TRANSACTION_PATH
-            )
+        _expect_lease(response, lease, _TRANSACTION_PATH)
         if response.status == 412:
             conflict = decode_body(response, _Conflict, _TRANSACTION_PATH)
             current = next((i for i in conflict.items if i.key == key), None)
@@ -188,5 +194,21 @@
             self._count("store_calls_unanswered")
             raise StoreError(error.message, step=error.step, peer=error.peer) from error
         self._count(f"store_calls_status_{response.status}")
-        self._on_epoch(epoch_of(response))
+        epoch = epoch_of(response)
+        self._newest_epoch = max(self._newest_epoch, epoch)
+        self._on_epoch(epoch)
         return response
+
+
+def _expect_lease(response: HttpResponse, lease: StoreLease, step: str) -> None:
+    """Raise an error unless the store still has a lease.
+
+    A restored store may have assigned the id to another member.
+    """
+    is_restored = response.status == 200 and epoch_of(response) != lease.epoch
+    if response.status == 404 or is_restored:
+        raise LeaseLostError(
+            f"lease {lease.lease_id} of epoch {lease.epoch} has ended; create a new "
+            "one",
+            step=step,
+        )
