Confirm a configuration only by a store that has at least that version

A caller of a route that an acknowledged change has added could be reset, instead of being offered to a target or left without an answer: the daemon took the version in effect for the newest, because a read had succeeded.

Cause: every read confirmed the version in effect, whatever it returned. A store that was restored from a copy returns an older version, or no configuration, until the operator has written again; a version that a peer had earlier was confirmed by a watch that had not delivered it. Now only a stored version of at least the one in effect confirms it. As the store may also have lost a version that this daemon has never seen, nothing is confirmed for as long as a change may take (configApplyMs) after a new epoch is noticed, nor after the first contact of a process, which can't tell how old the epoch is.

--- a/src/cranberryhold/flows/adoption.py
+++ b/src/cranberryhold/flows/adoption.py
@@ -47,7 +47,8 @@
         self._telemetry = telemetry
         self._monotonic = monotonic
         self._on_change = on_change
-        self._stored_is_readable = True
+        # Version that the store had at the last read, None if it had no readable one.
+        self._stored_version: int | None = None
 
     @property
     def key(self) -> str:
@@ -62,25 +63,35 @@
     def apply_read(self, item: StoredItem | None, as_of: float) -> None:
         """Apply the result of a read of the store.
 
-        The configuration in effect counts as the newest, unless the stored one can't be
-        read.
+        The configuration in effect counts as the newest if it is the stored one. A
+        store that was restored from a copy may hold an older one, or none, until the
+        operator writes again.
 
-        :param item: the stored configuration, or None if it has not changed since the
-            last read.
+        :param item: the stored configuration, or None if there is none.
         :param as_of: monotonic time in seconds of the state that was read.
         """
+        self._stored_version = None
         if item is not None:
-            self._stored_is_readable = self.adopt(
+            self._stored_version = self.adopt(
                 item.value, source="store", revision=item.revision
             )
-        if self._stored_is_readable:
+        elif self._routes.configuration is not None:
+            self._telemetry.event("configuration-missing", in_effect=self.version)
+        self.apply_unchanged(as_of)
+
+    def apply_unchanged(self, as_of: float) -> None:
+        """Record that the store's configuration has not changed since the last read.
+
+        :param as_of: monotonic time in seconds of the state that was read.
+        """
+        if self._stored_version is not None and self._stored_version >= self.version:
             self._routes.confirm(as_of)
 
-    def adopt(self, document: bytes, **origin: object) -> bool:
+    def adopt(self, document: bytes, **origin: object) -> int | None:
         """Put a document into effect if it holds a newer version.
 
         :param origin: fields for the log that tell where the document is from.
-        :return: whether the document could be read.
+        :return: the version of the document, or None if it could not be read.
         """
         current = self._routes.configuration
         try:
@@ -90,7 +101,7 @@
             self._telemetry.event(
                 "configuration-malformed", level="ERROR", error=error, **origin
             )
-            return False
+            return None
         now = self._monotonic()
         if configuration.version < self._routes.version:
             self._telemetry.event(
@@ -100,7 +111,7 @@
                 **origin,
             )
         if not self._routes.adopt(configuration, now):
-            return True
+            return configuration.version
         added, removed = changed_routes(
             current.routes if current else (), configuration.routes
         )
@@ -116,4 +127,4 @@
             **origin,
         )
         self._on_change()
-        return True
+        return configuration.version
--- a/src/cranberryhold/flows/configuration.py
+++ b/src/cranberryhold/flows/configuration.py
@@ -107,17 +107,16 @@
         as_of = self._monotonic()
         if position is None:
             result = await self._store.get(self._adopter.key)
+            self._adopter.apply_read(result.item, as_of)
+            return result.position
+        wait_s = self._watch_wait_s * self._random.uniform(1.0 - WATCH_WAIT_JITTER, 1.0)
+        result = await self._store.wait_for_change(self._adopter.key, position, wait_s)
+        if result.item is not None:
+            self._adopter.apply_read(result.item, as_of)
+        elif self._monotonic() - as_of >= wait_s:
+            self._adopter.apply_unchanged(as_of + wait_s)
         else:
-            wait_s = self._watch_wait_s * self._random.uniform(
-                1.0 - WATCH_WAIT_JITTER, 1.0
-            )
-            result = await self._store.wait_for_change(
-                self._adopter.key, position, wait_s
-            )
-            waited_s = self._monotonic() - as_of
-            if result.item is None and waited_s >= wait_s:
-                as_of += wait_s
-        self._adopter.apply_read(result.item, as_of)
+            self._adopter.apply_unchanged(as_of)
         return result.position
 
     async def fetch_from(self, peer: Address, version: int) -> None:
--- a/src/cranberryhold/flows/entry_core.py
+++ b/src/cranberryhold/flows/entry_core.py
@@ -145,6 +145,10 @@
         )
         self._adopter.apply_read(state.configuration, state.read_at)
 
+    def handle_new_epoch(self, _epoch: int) -> None:
+        """Handle a store that was restored from an older copy of its data."""
+        self._routes.record_restore(time.monotonic())
+
     def apply_settings(self, settings: MemberSettings) -> None:
         """Apply changed settings, except the addresses of open sockets."""
         self._settings = structs.replace(
--- a/src/cranberryhold/flows/route_table.py
+++ b/src/cranberryhold/flows/route_table.py
@@ -75,6 +75,8 @@
         self._configuration: Configuration | None = None
         self._newest_known_version = 0
         self._confirmed_at = -inf
+        # The store is not trusted to have the newest configuration before this time.
+        self._unconfirmable_until = -inf
 
     @property
     def configuration(self) -> Configuration | None:
@@ -91,7 +93,17 @@
 
         :param as_of: monotonic time in seconds at which it had none.
         """
-        self._confirmed_at = as_of
+        if as_of >= self._unconfirmable_until:
+            self._confirmed_at = as_of
+
+    def record_restore(self, now: float) -> None:
+        """Record that the store may have lost the newest configuration.
+
+        The operator may take as long to write it again as a change may take to be in
+        effect.
+        """
+        self._confirmed_at = -inf
+        self._unconfirmable_until = now + self._confirmation_s
 
     def confirmation_age_s(self, now: float) -> float:
         """Return the seconds since the configuration was known to be the newest.
--- a/src/cranberryhold/platform/entry_runner.py
+++ b/src/cranberryhold/platform/entry_runner.py
@@ -23,7 +23,7 @@
 
     async def run() -> None:
         client = HttpClient(core.settings.store, max_store_body_bytes)
-        epochs = EpochTracker(core.telemetry, lambda _epoch: None)
+        epochs = EpochTracker(core.telemetry, core.handle_new_epoch)
         store = PlatformStore(client, core.telemetry.count, epochs.record)
         daemon = EntryDaemon(
             core,
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -195,6 +195,29 @@
             assert not routes.is_current(monotonic())
 
 
+async def test_a_restored_store_confirms_nothing_until_the_operator_has_written(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Guards against a reset of callers of an added route by a daemon that reads the
+    # version before it from the restored store. The operator writes again soon after.
+    async with running_store() as (stand_in, store):
+        await stand_in.put(KEY, document(2))
+        copy = stand_in.copy()
+        monotonic = asyncio.get_running_loop().time
+        async with following(store) as routes:
+            tracker = EpochTracker(
+                create_telemetry(), lambda _: routes.record_restore(monotonic())
+            )
+            monkeypatch.setattr(store, "_on_epoch", tracker.record)
+            await until(lambda: routes.is_current(monotonic()), 3 * LIMIT_S)
+            await stand_in.put(KEY, document(3))
+            await stand_in.restore(copy)
+            await until(lambda: not routes.is_current(monotonic()), LIMIT_S)
+            restored_at = monotonic()
+            await until(lambda: routes.is_current(monotonic()), 3 * LIMIT_S)
+            assert monotonic() - restored_at >= LIMIT_S
+
+
 async def send_until_answered(site: Site, entry: int, port: int):
     """Repeat a packet of an open flow like a caller; return the first answer."""
 
