Reject deeply nested messages instead of ending the process

One datagram, page or settings file with a deeply nested field raised a RecursionError, which nothing caught: in a response of the store it ended the task that follows it, and with it the process, at every read.

Cause: msgspec raises RecursionError for deep nesting, also in fields that are skipped, and ValueError for integers of thousands of digits; the decoders caught its own errors only. DECODE_ERRORS names all three in one place, and the decoders of members, manifests, settings and the store use it.

test_a_deeply_nested_message_is_malformed failed before.

--- a/src/cranberryhold/flows/peer_messages.py
+++ b/src/cranberryhold/flows/peer_messages.py
@@ -6,7 +6,9 @@
 
 from typing import Annotated
 
-from msgspec import Meta, MsgspecError, Struct, msgpack
+from msgspec import Meta, Struct, msgpack
+
+from cranberryhold.decoding import DECODE_ERRORS
 
 MAX_DATAGRAM_BYTES = 1200
 MAX_LISTED_PEERS = 64
@@ -155,5 +157,5 @@
         return None
     try:
         return _decoder.decode(datagram)
-    except MsgspecError:
+    except DECODE_ERRORS:
         return None
--- a/src/cranberryhold/manifest/deltas.py
+++ b/src/cranberryhold/manifest/deltas.py
@@ -4,10 +4,10 @@
 from collections.abc import Iterable
 from hashlib import sha256
 
-from msgspec import MsgspecError
 from msgspec.msgpack import Decoder
 from pydantic import TypeAdapter, ValidationError
 
+from cranberryhold.decoding import DECODE_ERRORS
 from cranberryhold.exceptions import ManifestError
 from cranberryhold.manifest.models import (
     AcceptedManifest,
@@ -100,7 +100,7 @@
     """
     try:
         return _delta_decoder.decode(data)
-    except MsgspecError as error:
+    except DECODE_ERRORS as error:
         raise ManifestError(f"malformed delta: {error}", step="read delta") from error
 
 
--- a/src/cranberryhold/platform/settings.py
+++ b/src/cranberryhold/platform/settings.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from cranberryhold.addresses import Address
+from cranberryhold.decoding import DECODE_ERRORS
 from cranberryhold.exceptions import AddressError, SettingsError
 from cranberryhold.flows.settings import FlowSidecarSettings, MemberSettings
 
@@ -61,7 +62,7 @@
     try:
         with open(path, "rb") as file:
             return msgspec.json.decode(file.read(), type=PlatformSettings)
-    except (OSError, msgspec.MsgspecError) as error:
+    except (OSError, *DECODE_ERRORS) as error:
         raise SettingsError(
             f"{PATH_VARIABLE}={path!r}: {error}; set it to a readable settings file",
             step="read settings",
--- a/src/cranberryhold/platform/store_messages.py
+++ b/src/cranberryhold/platform/store_messages.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from cranberryhold.decoding import DECODE_ERRORS
 from cranberryhold.exceptions import StoreError
 from cranberryhold.flows.http_messages import HttpResponse
 from cranberryhold.flows.leased_store import (
@@ -79,7 +80,7 @@
     """Decode the body of a response; raise :class:`StoreError` if it is malformed."""
     try:
         return msgspec.json.decode(response.body, type=body_type)
-    except (msgspec.MsgspecError, ValueError) as error:
+    except DECODE_ERRORS as error:
         raise StoreError(f"malformed response: {error}", step=step) from error
 
 
