--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -1,5 +1,6 @@
 """Entries and heartbeats of other writers: each is left out, the others hold."""
 
+import json
 from random import Random
 
 import pytest
@@ -18,11 +19,79 @@
     decode_datagram,
     encode,
 )
+from tests.flow_site import running_site
+from tests.waiting import until
 
+NESTED_JSON = b'{"x":' + b"[" * 30_000 + b"]" * 30_000
 FIXARRAY, FIXMAP = 0x90, 0x80
 NESTED_FIELD = b"\x91" * 1100 + b"\xc0"
 
 
+async def post_heartbeat(site, **changes) -> int:
+    """Send a heartbeat of another writer to a sidecar; return the status."""
+    body = {
+        "service": "core",
+        "address": str(site.targets[0].address),
+        "state": "ready",
+        "concurrency": 3,
+        "coldRemainingMs": 0,
+        "seq": 2,
+        "born": 2,
+        **changes,
+    }
+    encoded = json.dumps(body).encode()
+    status, _ = await site.call(
+        2, site.heartbeat_port, "POST", "/instances/i-odd/heartbeat", encoded
+    )
+    return status
+
+
+class TestHeartbeats:
+    @pytest.mark.parametrize(
+        "changes",
+        [
+            {"concurrency": 10**30},
+            {"concurrency": 2**40},
+            {"concurrency": -7},
+            {"seq": 10**40},
+            {"seq": -1},
+            {"born": 10**400},
+            {"born": 9_999_999_999_999},
+            {"born": -1},
+            {"state": "asleep"},
+            {"service": None},
+        ],
+    )
+    async def test_an_odd_heartbeat_is_rejected_and_the_target_is_used(self, changes):
+        # Guards against a sidecar daemon that ends, or uses another target, because of
+        # one heartbeat of another writer.
+        async with running_site() as site:
+            entry = await site.start_entry(1)
+            sidecar = await site.start_sidecar(2)
+            await until(lambda: entry.member.peers.sidecars)
+            assert await post_heartbeat(site, **changes) == 400
+            target = site.targets[0]
+            assert await site.send_heartbeat(2, target, sequence=2) == 200
+            assert sidecar.datapath.accepts_flows()
+            status, _ = await site.call(2, site.ready_port, "GET", "/readyz")
+            assert status == 200
+
+    async def test_a_deeply_nested_heartbeat_is_rejected(self):
+        async with running_site() as site:
+            await site.start_sidecar(2)
+            status, _ = await site.call(
+                2, site.heartbeat_port, "POST", "/instances/i-1/heartbeat", NESTED_JSON
+            )
+            assert status == 400
+
+    async def test_a_long_slow_start_ends(self):
+        async with running_site() as site:
+            sidecar = await site.start_sidecar(2)
+            assert await post_heartbeat(site, coldRemainingMs=1e300) == 200
+            heartbeat = sidecar.datapath._target.last_heartbeat
+            assert heartbeat.cold_for_s <= 600
+
+
 def with_nested_field(message: bytes) -> bytes:
     """Append a field that decoders skip to a short array or map in MessagePack."""
     assert message[0] & 0xF0 in (FIXARRAY, FIXMAP)
