Leave out entries whose key is no address of a host

Keys such as 7, 10.0.0.1 x, 0.0.0.0 and 224.0.0.1 became members, to which statuses were sent.

Cause: inet_aton raises ValueError for NUL bytes, which was not caught, and accepts abbreviated, padded and special addresses. pack_host accepts dotted quads of unicast addresses only; such an entry is logged, counted and left out, and the others hold.

--- a/src/cranberryhold/addresses.py
+++ b/src/cranberryhold/addresses.py
@@ -10,6 +10,30 @@
 _PORT = struct.Struct("!H")
 
 PACKED_ADDRESS_BYTES = 6
+# First octets of the addresses that a host can have; 224 and above are multicast and
+# reserved addresses.
+FIRST_HOST_OCTET, LAST_HOST_OCTET = 1, 223
+
+
+def pack_host(text: str) -> bytes:
+    """Encode the IPv4 address of a host, in dotted-decimal notation, in 4 bytes.
+
+    >>> pack_host("10.0.0.1").hex()
+    '0a000001'
+
+    :raises AddressError: if the text has another format or is no address of a host,
+        such as a multicast address.
+    """
+    try:
+        packed = socket.inet_pton(socket.AF_INET, text)
+    except (OSError, ValueError):
+        packed = b"\0"
+    if not FIRST_HOST_OCTET <= packed[0] <= LAST_HOST_OCTET:
+        raise AddressError(
+            f"{text!r} is not the IPv4 address of a host, such as 10.0.0.1",
+            step="parse address",
+        )
+    return packed
 
 
 class Address(Struct, frozen=True, order=True):
--- a/src/cranberryhold/flows/member_list.py
+++ b/src/cranberryhold/flows/member_list.py
@@ -1,10 +1,12 @@
 """The items about the members in the store."""
 
-from socket import inet_aton
 from typing import Literal
 
-from msgspec import MsgspecError, Struct, json
+from msgspec import Struct, json
 
+from cranberryhold.addresses import pack_host
+from cranberryhold.decoding import DECODE_ERRORS
+from cranberryhold.exceptions import AddressError
 from cranberryhold.flows.leased_store import ItemList
 from cranberryhold.flows.telemetry import Telemetry
 
@@ -67,12 +69,12 @@
         try:
             if item.key.startswith(MEMBERS_PREFIX):
                 entry = json.decode(item.value, type=MemberEntry)
-                ip = inet_aton(item.key.removeprefix(MEMBERS_PREFIX))
+                ip = pack_host(item.key.removeprefix(MEMBERS_PREFIX))
                 found[entry.role].append(ip)
             elif item.key.startswith(WITNESSES_PREFIX):
                 witness = json.decode(item.value, type=Witness)
                 witnessed = witnessed or witness.epoch == listed.epoch
-        except (MsgspecError, OSError) as error:
+        except (*DECODE_ERRORS, AddressError) as error:
             telemetry.count("member_entries_malformed")
             telemetry.flow_event("member-entry-malformed", key=item.key, error=error)
     return ListedMembers(
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -2,16 +2,20 @@
 
 import json
 from random import Random
+from socket import inet_aton
 
 import pytest
 from msgspec import msgpack
 
 from cranberryhold.exceptions import ManifestError, PeerError
+from cranberryhold.flows.leased_store import ItemList, StoredItem
+from cranberryhold.flows.member_list import MEMBERS_PREFIX, decode_members
 from cranberryhold.flows.peer_messages import (
     Leaving,
     decode_message,
     encode_message,
 )
+from cranberryhold.flows.telemetry import Telemetry
 from cranberryhold.manifest.deltas import decode_delta, encode_delta
 from cranberryhold.membership.messages import (
     ManifestDelta,
@@ -19,12 +23,14 @@
     decode_datagram,
     encode,
 )
+from tests.flow_simulation import LogLines
 from tests.flow_site import running_site
 from tests.waiting import until
 
 NESTED_JSON = b'{"x":' + b"[" * 30_000 + b"]" * 30_000
 FIXARRAY, FIXMAP = 0x90, 0x80
 NESTED_FIELD = b"\x91" * 1100 + b"\xc0"
+ENTRY = b'{"role":"sidecar","zone":"a","process":1}'
 
 
 async def post_heartbeat(site, **changes) -> int:
@@ -92,6 +98,34 @@
             assert heartbeat.cold_for_s <= 600
 
 
+class TestMemberEntries:
+    @pytest.mark.parametrize(
+        ("key", "value"),
+        [
+            ("10.0.0.1", NESTED_JSON),
+            ("10.0.0.1\0", ENTRY),
+            ("7", ENTRY),
+            ("10.0.0.1 x", ENTRY),
+            ("10.0.0", ENTRY),
+            ("0.0.0.0", ENTRY),
+            ("224.0.0.1", ENTRY),
+            ("255.255.255.255", ENTRY),
+            ("10.0.0.1", b'{"role":"sidecar","zone":"a","process":1' + b"0" * 9999),
+        ],
+    )
+    def test_an_odd_entry_is_left_out_and_the_others_are_read(self, key, value):
+        # Guards against processes that end again and again, or stop to follow the
+        # list, because of one entry of another writer.
+        telemetry = Telemetry("test", LogLines(), lambda: 0.0)
+        items = [
+            StoredItem(MEMBERS_PREFIX + key, value, 1),
+            StoredItem(MEMBERS_PREFIX + "10.0.0.2", ENTRY, 2),
+        ]
+        members = decode_members(ItemList(items, 1), telemetry, exact=True)
+        assert members.sidecars == (inet_aton("10.0.0.2"),)
+        assert telemetry.counts["member_entries_malformed"] == 1
+
+
 def with_nested_field(message: bytes) -> bytes:
     """Append a field that decoders skip to a short array or map in MessagePack."""
     assert message[0] & 0xF0 in (FIXARRAY, FIXMAP)
