Reject configurations with values out of range

A configuration with the port 99999 or -1, a negative weight, the host 1 or a version of 10^30 was taken; a deeply nested one ended the entry daemon.

Cause: types were checked, ranges were not. The users' store accepts only valid configurations, so that a document out of range is not the operator's: it is rejected as a whole, confirms nothing, and the version in effect stays. A weight of 0 is valid; it takes a service out of a route.

--- a/src/cranberryhold/platform/operator_configuration.py
+++ b/src/cranberryhold/platform/operator_configuration.py
@@ -1,19 +1,27 @@
 """The configuration that the platform's operator writes into the store."""
 
-from socket import inet_aton
+from typing import Annotated
 
 import msgspec
 
-from cranberryhold.exceptions import CranberryholdError
+from cranberryhold.addresses import pack_host
+from cranberryhold.decoding import DECODE_ERRORS
+from cranberryhold.exceptions import AddressError, CranberryholdError
 from cranberryhold.flows.route_table import Configuration, Route, WeightedService
 
 DEFAULT_IDLE_TIMEOUT_MS = 60_000
 UPLOAD_TYPE = "upload"
+MAX_PORT = 65535
+# Versions are sent to other members as 64-bit integers.
+MAX_INTEGER = 2**63 - 1
+
+_Natural = Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
 
 
 class _Backend(msgspec.Struct):
     service: str
-    weight: int
+    # 0 if the service is to get no flows.
+    weight: _Natural
 
 
 class _Route(msgspec.Struct):
@@ -29,11 +37,11 @@
 
 
 class _Limits(msgspec.Struct, rename="camel"):
-    idle_timeout_ms: int = DEFAULT_IDLE_TIMEOUT_MS
+    idle_timeout_ms: _Natural = DEFAULT_IDLE_TIMEOUT_MS
 
 
 class _Document(msgspec.Struct):
-    version: int
+    version: _Natural
     routes: list[_Route]
     limits: _Limits = msgspec.field(default_factory=_Limits)
 
@@ -59,7 +67,7 @@
                 idle_timeout_s=decoded.limits.idle_timeout_ms / 1000,
                 document=document,
             )
-        except (msgspec.MsgspecError, ValueError, OSError) as error:
+        except (*DECODE_ERRORS, AddressError) as error:
             raise CranberryholdError(
                 f"invalid configuration: {error}", step="read configuration"
             ) from error
@@ -72,6 +80,18 @@
         services = (WeightedService(route.service, 1),)
     else:
         raise ValueError(f"route {route.name!r} has no service")
-    port = int(route.prefix.strip("/"))
-    bulk = route.type == UPLOAD_TYPE
-    return Route(route.name, inet_aton(route.host), port, services, bulk)
+    return Route(
+        route.name,
+        pack_host(route.host),
+        _port(route.prefix),
+        services,
+        bulk=route.type == UPLOAD_TYPE,
+    )
+
+
+def _port(prefix: str) -> int:
+    digits = prefix.strip("/")
+    port = int(digits) if digits.isascii() and digits.isdigit() else 0
+    if not 0 < port <= MAX_PORT:
+        raise ValueError(f"{prefix!r} is not a port between slashes")
+    return port
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -7,7 +7,7 @@
 import pytest
 from msgspec import msgpack
 
-from cranberryhold.exceptions import ManifestError, PeerError
+from cranberryhold.exceptions import CranberryholdError, ManifestError, PeerError
 from cranberryhold.flows.leased_store import ItemList, StoredItem
 from cranberryhold.flows.member_list import MEMBERS_PREFIX, decode_members
 from cranberryhold.flows.peer_messages import (
@@ -23,6 +23,7 @@
     decode_datagram,
     encode,
 )
+from cranberryhold.platform.operator_configuration import OperatorConfiguration
 from tests.flow_simulation import LogLines
 from tests.flow_site import running_site
 from tests.waiting import until
@@ -126,6 +127,40 @@
         assert telemetry.counts["member_entries_malformed"] == 1
 
 
+def configuration(**changes) -> bytes:
+    route = {"name": "r", "host": "198.18.0.1", "prefix": "/443/", "service": "core"}
+    return json.dumps({"version": 1, "routes": [{**route, **changes}]}).encode()
+
+
+class TestConfigurations:
+    @pytest.mark.parametrize(
+        "document",
+        [
+            NESTED_JSON,
+            configuration(prefix="/99999/"),
+            configuration(prefix="/-1/"),
+            configuration(prefix="/0/"),
+            configuration(prefix="/4_43/"),
+            configuration(host="1"),
+            configuration(host="198.18.0.1 x"),
+            configuration(host="198.18.0.1\0"),
+            configuration(backends=[{"service": "core", "weight": -1}]),
+            configuration(backends=[{"service": "core", "weight": 10**30}]),
+            b'{"version":1' + b"0" * 30 + b',"routes":[]}',
+            b'{"version":-1,"routes":[]}',
+            b'{"version":1,"routes":[],"limits":{"idleTimeoutMs":-1}}',
+        ],
+    )
+    def test_an_odd_configuration_is_rejected(self, document):
+        with pytest.raises(CranberryholdError):
+            OperatorConfiguration().decode(document)
+
+    def test_a_service_without_a_share_is_accepted(self):
+        backends = [{"service": "a", "weight": 0}, {"service": "b", "weight": 5}]
+        decoded = OperatorConfiguration().decode(configuration(backends=backends))
+        assert [s.weight for s in decoded.routes[0].services] == [0, 5]
+
+
 def with_nested_field(message: bytes) -> bytes:
     """Append a field that decoders skip to a short array or map in MessagePack."""
     assert message[0] & 0xF0 in (FIXARRAY, FIXMAP)
