Use a running target again after a heartbeat of another writer hid it

One heartbeat under another id with a later start, or under the target's own with a higher number, hid all later ones of the running target: they were answered with 200 and ignored, also when they said that it drains, until the sidecar restarted.

Cause: order alone decided which heartbeat is the newest, and a former incarnation could not become the newest one again. Now a target that keeps sending, three heartbeats in order over an interval, takes over from one that is silent; late heartbeats of an ended target arrive together or not in order. A heartbeat of another incarnation than the one in use is answered with 409, so that a target does not take its draining for acknowledged.

Flows that are open when the odd heartbeat arrives still end with "target-replaced": a later start can't be told from a target that has crashed and restarted within the interval.

test_a_target_is_used_again_after_a_heartbeat_of_another_writer and test_the_target_is_not_told_that_a_hidden_heartbeat_took_effect failed before.

--- a/src/cranberryhold/flows/http_server.py
+++ b/src/cranberryhold/flows/http_server.py
@@ -20,6 +20,7 @@
     200: "OK",
     400: "Bad Request",
     404: "Not Found",
+    409: "Conflict",
     413: "Content Too Large",
     500: "Internal Server Error",
     503: "Service Unavailable",
--- a/src/cranberryhold/flows/sidecar_daemon.py
+++ b/src/cranberryhold/flows/sidecar_daemon.py
@@ -136,10 +136,12 @@
         if isinstance(report, str):
             self._datapath.mark_target_ended(report)
             self._core.announce()
-        elif self._datapath.record_heartbeat(report) is not BeatOutcome.REFRESHED or (
-            self._core.acceptance_changed()
-        ):
-            self._core.announce()
+        else:
+            outcome = self._datapath.record_heartbeat(report)
+            if not self._datapath.is_newest_incarnation(report):
+                return Response(409)
+            if outcome is not BeatOutcome.REFRESHED or self._core.acceptance_changed():
+                self._core.announce()
         return Response(200, b"{}")
 
     async def _send_status(self) -> None:
--- a/src/cranberryhold/flows/sidecar_datapath.py
+++ b/src/cranberryhold/flows/sidecar_datapath.py
@@ -140,6 +140,10 @@
             )
         return outcome
 
+    def is_newest_incarnation(self, heartbeat: Heartbeat) -> bool:
+        """Whether a heartbeat is of the target that packets are delivered to."""
+        return self._target.is_newest_incarnation(heartbeat)
+
     def mark_target_ended(self, target_id: str) -> bool:
         """Record that the target reported its end; False if it is another target."""
         ended = self._target.mark_ended(target_id)
--- a/src/cranberryhold/flows/target_state.py
+++ b/src/cranberryhold/flows/target_state.py
@@ -25,6 +25,13 @@
 FIRST_HEARTBEAT_SEQUENCE = 1
 # Incarnations whose late heartbeats are recognized.
 MAX_FORMER_INCARNATIONS = 16
+# Heartbeats in order after which a target that was not heard before replaces a silent
+# one. One may be a late one of an incarnation that a former process knew.
+_UNKNOWN_CLAIM_HEARTBEATS = 2
+# The same for a target that was replaced already, or whose numbers went back; its late
+# heartbeats may arrive together.
+_KNOWN_CLAIM_HEARTBEATS = 3
+_KNOWN_CLAIM_INTERVALS = 1.0
 
 
 class TargetPhase(Enum):
@@ -64,6 +71,19 @@
     cold_for_s: float
 
 
+class _Claim(Struct):
+    """Heartbeats in order that precede the newest one.
+
+    :param last: the last of them.
+    :param count: their number.
+    :param since: time of the first one in seconds.
+    """
+
+    last: Heartbeat
+    count: int
+    since: float
+
+
 class TargetState:
     """Last known state of a sidecar's target.
 
@@ -79,8 +99,7 @@
         self._last_heartbeat: Heartbeat | None = None
         self._last_heartbeat_at = 0.0
         self._former: deque[tuple[int, str]] = deque(maxlen=MAX_FORMER_INCARNATIONS)
-        # Last ignored heartbeat of an unknown incarnation with an earlier start.
-        self._earlier_start: Heartbeat | None = None
+        self._claim: _Claim | None = None
         self._cold_until = 0.0
         self._ended = False
         self._absent = False
@@ -162,6 +181,11 @@
         """Whether the target is still in its slow start."""
         return now < self._cold_until
 
+    def is_newest_incarnation(self, heartbeat: Heartbeat) -> bool:
+        """Whether a heartbeat is of the incarnation that the state describes."""
+        newest = self._last_heartbeat
+        return newest is not None and _incarnation(heartbeat) == _incarnation(newest)
+
     def record_heartbeat(self, heartbeat: Heartbeat, now: float) -> BeatOutcome:
         """Update the state with a heartbeat.
 
@@ -184,7 +208,7 @@
         if previous is None or previous.service != heartbeat.service:
             self._service_tag = service_tag(heartbeat.service)
         self._last_heartbeat = heartbeat
-        self._earlier_start = None
+        self._claim = None
         self._presumed_at = None
         self._absent = False
         self._last_heartbeat_at = now
@@ -202,26 +226,32 @@
     def _is_successor(
         self, heartbeat: Heartbeat, newest: Heartbeat, now: float
     ) -> bool:
-        """Whether a target with an earlier start time runs in place of the newest one.
+        """Whether a target whose heartbeats precede the newest one runs in its place.
 
-        It does if it keeps sending heartbeats while the newest one sends none. One
-        heartbeat may be a late one of an incarnation that a former process knew.
-        Each call keeps the heartbeat, for the comparison with the next one.
+        It does if it keeps sending heartbeats while no newer ones arrive: its clock was
+        set back before its start, or the newest one is of another writer. Each call
+        keeps the heartbeat, for the comparison with the next one.
         """
+        if not (self._ended or self._absent or self.is_overdue(now)):
+            return False
+        claim = self._extend_claim(heartbeat, now)
         incarnation = _incarnation(heartbeat)
-        is_replaceable = self._ended or self._absent or self.is_overdue(now)
+        if incarnation != _incarnation(newest) and incarnation not in self._former:
+            return claim.count >= _UNKNOWN_CLAIM_HEARTBEATS
+        spread_s = _KNOWN_CLAIM_INTERVALS * self._heartbeat_interval_s
+        return claim.count >= _KNOWN_CLAIM_HEARTBEATS and now - claim.since >= spread_s
+
+    def _extend_claim(self, heartbeat: Heartbeat, now: float) -> _Claim:
+        claim = self._claim
         if (
-            not is_replaceable
-            or incarnation == _incarnation(newest)
-            or incarnation in self._former
+            claim is not None
+            and _incarnation(claim.last) == _incarnation(heartbeat)
+            and claim.last.sequence < heartbeat.sequence
         ):
-            return False
-        previous, self._earlier_start = self._earlier_start, heartbeat
-        return (
-            previous is not None
-            and _incarnation(previous) == incarnation
-            and previous.sequence < heartbeat.sequence
-        )
+            self._claim = _Claim(heartbeat, claim.count + 1, claim.since)
+        else:
+            self._claim = _Claim(heartbeat, 1, now)
+        return self._claim
 
     def mark_absent(self) -> bool:
         """Record that no program listens at the target's address.
--- a/tests/test_flow_state.py
+++ b/tests/test_flow_state.py
@@ -328,6 +328,21 @@
             late = heartbeat(started_ms=10, sequence=sequence)
             assert state.record_heartbeat(late, 5.0) is BeatOutcome.OUTDATED
 
+    @pytest.mark.parametrize("odd", [{"target_id": "i-9"}, {"sequence": 10**6}])
+    def test_a_target_is_used_again_after_a_heartbeat_of_another_writer(self, odd):
+        # Guards against a running target that gets no flows for all its life, as one
+        # heartbeat with a later start, or a higher number, hides all of its own.
+        state = self.state()
+        state.record_heartbeat(heartbeat(started_ms=10, sequence=1), 0.0)
+        later = {"started_ms": 10 if "sequence" in odd else 20, **odd}
+        state.record_heartbeat(heartbeat(**later), 0.5)
+        for sequence in range(2, 7):
+            now = float(sequence)
+            state.record_heartbeat(heartbeat(started_ms=10, sequence=sequence), now)
+        assert state.last_heartbeat.target_id == "i-1"
+        assert state.last_heartbeat.sequence == 6
+        assert state.accepts_flows(6.0)
+
     def test_an_earlier_start_does_not_replace_a_target_that_sends(self):
         state = self.state()
         for number in range(1, 9):
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -83,6 +83,17 @@
             status, _ = await site.call(2, site.ready_port, "GET", "/readyz")
             assert status == 200
 
+    async def test_the_target_is_not_told_that_a_hidden_heartbeat_took_effect(self):
+        # Guards against a target that drains, and ends in the belief that no more
+        # flows are sent to it, while a heartbeat of another writer hides its own.
+        async with running_site() as site:
+            sidecar = await site.start_sidecar(2)
+            assert await post_heartbeat(site) == 200
+            target = site.targets[0]
+            drains = {"sequence": 2, "state": "draining"}
+            assert await site.send_heartbeat(2, target, **drains) == 409
+            assert sidecar.datapath.accepts_flows()
+
     async def test_a_deeply_nested_heartbeat_is_rejected(self):
         async with running_site() as site:
             await site.start_sidecar(2)
