Do not let a heartbeat of another service replace a target that is heard

A heartbeat of another writer that names a service of its own invention, with a later start, ended all open flows of the running target ("target-replaced"), and its sidecar offered itself to flows of that service; with a name that exists, those flows would have reached a target that must not serve them (ROUTE).

Cause: the service was taken from whatever heartbeat was the newest. An address goes to another service only reuseAfterS after its target has ended, and a target counts as overdue by then at the latest. So a heartbeat of another service takes effect only once the target is overdue, ended or absent; until then it is answered with 409. The service of the settings was not used for this: nothing promises that it never changes in the life of a sidecar.

Two tests had a target of another service at the same address after 0 and 1 s, which the users rule out (reuseAfterS, 2 s): they now wait for 2 s, and the second also checks that the new service is in effect.

test_a_heartbeat_of_another_service_does_not_replace_a_target failed before.

--- a/src/cranberryhold/flows/sidecar_daemon.py
+++ b/src/cranberryhold/flows/sidecar_daemon.py
@@ -138,7 +138,7 @@
             self._core.announce()
         else:
             outcome = self._datapath.record_heartbeat(report)
-            if not self._datapath.is_newest_incarnation(report):
+            if not self._datapath.serves_sender(report):
                 return Response(409)
             if outcome is not BeatOutcome.REFRESHED or self._core.acceptance_changed():
                 self._core.announce()
--- a/src/cranberryhold/flows/sidecar_datapath.py
+++ b/src/cranberryhold/flows/sidecar_datapath.py
@@ -140,9 +140,9 @@
             )
         return outcome
 
-    def is_newest_incarnation(self, heartbeat: Heartbeat) -> bool:
-        """Whether a heartbeat is of the target that packets are delivered to."""
-        return self._target.is_newest_incarnation(heartbeat)
+    def serves_sender(self, heartbeat: Heartbeat) -> bool:
+        """Whether packets are delivered to the target that sent a heartbeat."""
+        return self._target.describes(heartbeat)
 
     def mark_target_ended(self, target_id: str) -> bool:
         """Record that the target reported its end; False if it is another target."""
--- a/src/cranberryhold/flows/target_state.py
+++ b/src/cranberryhold/flows/target_state.py
@@ -181,21 +181,33 @@
         """Whether the target is still in its slow start."""
         return now < self._cold_until
 
-    def is_newest_incarnation(self, heartbeat: Heartbeat) -> bool:
-        """Whether a heartbeat is of the incarnation that the state describes."""
+    def describes(self, heartbeat: Heartbeat) -> bool:
+        """Whether the state is that of the target that sent a heartbeat."""
         newest = self._last_heartbeat
-        return newest is not None and _incarnation(heartbeat) == _incarnation(newest)
+        return (
+            newest is not None
+            and _incarnation(heartbeat) == _incarnation(newest)
+            and heartbeat.service == newest.service
+        )
 
     def record_heartbeat(self, heartbeat: Heartbeat, now: float) -> BeatOutcome:
         """Update the state with a heartbeat.
 
         Heartbeats of an earlier incarnation and heartbeats that arrive out of order
         are ignored. Start times order the incarnations, unless the clock was set back.
+        So are heartbeats of another service while the target sends its own: an address
+        goes to another service only after ``address_reuse_s``.
 
         :param now: seconds of a clock that also counts while the instance is
             suspended.
         """
         previous = self._last_heartbeat
+        if (
+            previous is not None
+            and previous.service != heartbeat.service
+            and not self._is_replaceable(now)
+        ):
+            return BeatOutcome.OUTDATED
         if (
             previous is not None
             and _precedes(heartbeat, previous)
@@ -223,6 +235,10 @@
             return BeatOutcome.DRAINS
         return BeatOutcome.REFRESHED
 
+    def _is_replaceable(self, now: float) -> bool:
+        """Whether the target may have ended."""
+        return self._ended or self._absent or self.is_overdue(now)
+
     def _is_successor(
         self, heartbeat: Heartbeat, newest: Heartbeat, now: float
     ) -> bool:
@@ -232,7 +248,7 @@
         set back before its start, or the newest one is of another writer. Each call
         keeps the heartbeat, for the comparison with the next one.
         """
-        if not (self._ended or self._absent or self.is_overdue(now)):
+        if not self._is_replaceable(now):
             return False
         claim = self._extend_claim(heartbeat, now)
         incarnation = _incarnation(heartbeat)
--- a/tests/test_flow_paths.py
+++ b/tests/test_flow_paths.py
@@ -10,6 +10,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from cranberryhold.flows.envelope import service_tag
 from cranberryhold.flows.target_state import TargetPhase
 from tests.flow_simulation import (
     ACK,
@@ -105,7 +106,11 @@
     replaced = heartbeat(
         target_id="i-2", started_ms=2, sequence=1, service=OTHER_SERVICE
     )
+    # An address goes to another service no sooner.
+    sim.clock.now += 2.0
     sim.sidecars[FIRST].record_heartbeat(replaced)
+    assert sim.states[FIRST].service == service_tag(OTHER_SERVICE)
+    assert sim.sidecars[FIRST].accepts_flows()
     assert not Caller(sim).open()
     assert not sim.targets[FIRST].flows
 
--- a/tests/test_flow_state.py
+++ b/tests/test_flow_state.py
@@ -296,10 +296,10 @@
         state = self.state()
         state.record_heartbeat(heartbeat(started_ms=10, service="core"), 0.0)
         state.record_heartbeat(
-            heartbeat(target_id="i-2", started_ms=20, service="other"), 1.0
+            heartbeat(target_id="i-2", started_ms=20, service="other"), 2.0
         )
         late = heartbeat(started_ms=10, sequence=99)
-        assert state.record_heartbeat(late, 1.1) is BeatOutcome.OUTDATED
+        assert state.record_heartbeat(late, 2.1) is BeatOutcome.OUTDATED
         assert state.service == OTHER
 
     @pytest.mark.parametrize("end", ["reported", "not listening", "silent"])
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -8,6 +8,7 @@
 from msgspec import msgpack
 
 from cranberryhold.exceptions import CranberryholdError, ManifestError, PeerError
+from cranberryhold.flows.envelope import service_tag
 from cranberryhold.flows.leased_store import ItemList, StoredItem
 from cranberryhold.flows.member_list import MEMBERS_PREFIX, decode_members
 from cranberryhold.flows.peer_messages import (
@@ -34,7 +35,7 @@
 ENTRY = b'{"role":"sidecar","zone":"a","process":1}'
 
 
-async def post_heartbeat(site, **changes) -> int:
+async def post_heartbeat(site, target_id: str = "i-odd", **changes) -> int:
     """Send a heartbeat of another writer to a sidecar; return the status."""
     body = {
         "service": "core",
@@ -48,7 +49,7 @@
     }
     encoded = json.dumps(body).encode()
     status, _ = await site.call(
-        2, site.heartbeat_port, "POST", "/instances/i-odd/heartbeat", encoded
+        2, site.heartbeat_port, "POST", f"/instances/{target_id}/heartbeat", encoded
     )
     return status
 
@@ -94,6 +95,20 @@
             assert await site.send_heartbeat(2, target, **drains) == 409
             assert sidecar.datapath.accepts_flows()
 
+    @pytest.mark.parametrize("odd", [{}, {"target_id": "i-2", "born": 1, "seq": 50}])
+    async def test_a_heartbeat_of_another_service_does_not_replace_a_target(self, odd):
+        # Guards against the reset of the open flows of a running target, and against
+        # flows of another service at it. An address goes to another service only when
+        # the heartbeats of its target are overdue.
+        async with running_site() as site:
+            sidecar = await site.start_sidecar(2)
+            target = site.targets[0]
+            status = await post_heartbeat(site, service="nowhere", **odd)
+            assert status == 409
+            assert sidecar.datapath._target.service == service_tag("core")
+            assert await site.send_heartbeat(2, target, sequence=2) == 200
+            assert sidecar.datapath.accepts_flows()
+
     async def test_a_deeply_nested_heartbeat_is_rejected(self):
         async with running_site() as site:
             await site.start_sidecar(2)
