Let the soak restore the store from a copy and add odd entries

Three kinds of faults come on a timeline of their own, as outages without a response do, so that the bursts of the known seeds stay as they are: the store comes back from a copy, the operator writes again and changes the configuration; odd items stand among the members for a while; and sidecars get odd heartbeats.

--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -8,6 +8,7 @@
 
 from emulator.packet_router import LinkFaults
 from emulator.stream_proxy import StreamFaults
+from tools.soak.other_writers import odd_items, send_odd_heartbeat
 from tools.soak.site import Machine, Site
 
 RESTART_DELAY_S = (0.1, 1.5)
@@ -16,12 +17,10 @@
 BURST_DURATION_S = (3.0, 8.0)
 QUIET_PERIOD_S = (0.0, 9.0)
 BURST_MEAN_INTERVAL_S = 0.7
-# Outages without any response come on their own, so that their number does not change
-# the bursts of a seed.
-SILENCE = "store-silence"
-SILENCE_DURATION_S = (0.2, 6.0)
-SILENCE_INTERVAL_S = (4.0, 16.0)
-CHANGE_AFTER_SILENCE_S = (0.0, 0.5)
+SEPARATE_INTERVAL_S = (4.0, 16.0)
+SEPARATE_DURATION_S = (0.2, 6.0)
+CHANGE_AFTER_OUTAGE_S = (0.0, 0.5)
+RESTORE_OUTAGE_S = (0.02, 1.0)
 GROUP_KILL_FRACTIONS = (0.3, 0.6, 1.0)
 MIN_REMAINING_TARGETS = 1
 
@@ -31,7 +30,7 @@
     """One planned fault.
 
     :ivar start_s: seconds after the start of the fault injection.
-    :ivar kind: name of the fault, a key of :data:`INJECTORS`.
+    :ivar kind: name of the fault, a key of the injectors.
     :ivar duration_s: duration, where the kind has one.
     :ivar seed: seed for everything else that is drawn for the fault.
     """
@@ -53,23 +52,25 @@
             faults.append(
                 Fault(
                     at_s,
-                    random.choice([kind for kind in INJECTORS if kind != SILENCE]),
+                    random.choice(list(INJECTORS)),
                     random.uniform(*FAULT_DURATION_S),
                     random.getrandbits(32),
                 )
             )
             at_s += random.expovariate(1 / BURST_MEAN_INTERVAL_S)
         at_s += random.uniform(*QUIET_PERIOD_S)
-    return sorted([*faults, *_plan_silences(seed, duration_s)], key=lambda f: f.start_s)
+    for kind in SEPARATE_INJECTORS:
+        faults.extend(_plan_separate(kind, seed, duration_s))
+    return sorted(faults, key=lambda f: f.start_s)
 
 
-def _plan_silences(seed: int, duration_s: float) -> Iterator[Fault]:
-    random = Random(f"{seed} {SILENCE}")
-    at_s = random.uniform(*SILENCE_INTERVAL_S)
+def _plan_separate(kind: str, seed: int, duration_s: float) -> Iterator[Fault]:
+    random = Random(f"{seed} {kind}")
+    at_s = random.uniform(*SEPARATE_INTERVAL_S)
     while at_s < duration_s:
-        length_s = random.uniform(*SILENCE_DURATION_S)
-        yield Fault(at_s, SILENCE, length_s, random.getrandbits(32))
-        at_s += random.uniform(*SILENCE_INTERVAL_S)
+        length_s = random.uniform(*SEPARATE_DURATION_S)
+        yield Fault(at_s, kind, length_s, random.getrandbits(32))
+        at_s += random.uniform(*SEPARATE_INTERVAL_S)
 
 
 async def inject(site: Site, fault: Fault) -> None:
@@ -79,7 +80,8 @@
     if site_wide:
         site.checker.record_disturbance()
     try:
-        await INJECTORS[fault.kind](site, Random(fault.seed), fault.duration_s)
+        injector = (INJECTORS | SEPARATE_INJECTORS)[fault.kind]
+        await injector(site, Random(fault.seed), fault.duration_s)
     finally:
         site.checker.record_fault_end()
         if site_wide:
@@ -168,10 +170,47 @@
     site.store.unresponsive = True
     await asyncio.sleep(duration_s)
     site.store.unresponsive = False
-    await asyncio.sleep(random.uniform(*CHANGE_AFTER_SILENCE_S))
+    await asyncio.sleep(random.uniform(*CHANGE_AFTER_OUTAGE_S))
     await site.write_configuration()
 
 
+async def _restore_store(site: Site, random: Random, duration_s: float) -> None:
+    """Let the store come back from a copy after an outage, and lose what was written.
+
+    The operator writes its newest configuration again, and changes it then.
+    """
+    copy = site.store.copy()
+    changes = random.randint(0, 2)
+    for _ in range(changes):
+        await asyncio.sleep(duration_s / (changes + 1))
+        await site.write_configuration()
+    await asyncio.sleep(duration_s / (changes + 1))
+    site.store.error_status = 503
+    await asyncio.sleep(random.uniform(*RESTORE_OUTAGE_S))
+    await site.store.restore(copy)
+    site.store.error_status = None
+    await asyncio.sleep(random.uniform(*CHANGE_AFTER_OUTAGE_S))
+    await site.repeat_configuration()
+    await asyncio.sleep(random.uniform(*CHANGE_AFTER_OUTAGE_S))
+    await site.write_configuration()
+
+
+async def _write_odd_items(site: Site, random: Random, duration_s: float) -> None:
+    """Let another writer leave entries among those of the members for a while."""
+    items = odd_items(random)
+    for key, value in items.items():
+        await site.store.put(key, value)
+    await asyncio.sleep(duration_s)
+    for key in items:
+        await site.store.delete(key)
+
+
+async def _send_odd_heartbeats(site: Site, random: Random, duration_s: float) -> None:
+    for _ in range(random.randint(1, 4)):
+        await send_odd_heartbeat(site, random.choice(site.sidecars), random)
+        await asyncio.sleep(duration_s / 8)
+
+
 async def _drop_store_responses(site: Site, random: Random, _duration_s: float) -> None:
     site.store.responses_to_drop += random.randint(1, 5)
 
@@ -246,7 +285,6 @@
     "reload": _reload,
     "store-link": _disturb_store_links,
     "store-errors": _return_store_errors,
-    SILENCE: _silence_store,
     "store-lost-responses": _drop_store_responses,
     "store-compaction": _compact_store,
     "store-deleted-members": _delete_member_entries,
@@ -256,7 +294,18 @@
     "change-configuration": _change_configuration,
 }
 
+SEPARATE_INJECTORS: dict[str, Callable[[Site, Random, float], Awaitable[None]]] = {
+    "store-silence": _silence_store,
+    "store-restore": _restore_store,
+    "odd-items": _write_odd_items,
+    "odd-heartbeats": _send_odd_heartbeats,
+}
+"""Faults that come on their own, so that a new kind does not change the bursts of a
+seed."""
+
 SITE_WIDE_KINDS = frozenset(
-    kind for kind in INJECTORS if kind.startswith(("store", "caller"))
+    kind
+    for kind in (*INJECTORS, *SEPARATE_INJECTORS)
+    if kind.startswith(("store", "caller"))
 )
 """Kinds of faults that disturb all machines while they last."""
--- a/tools/soak/site.py
+++ b/tools/soak/site.py
@@ -71,6 +71,10 @@
         last = self.processes[-1] if self.processes else None
         return last if last is not None and last.exit_code is None else None
 
+    def heartbeat_address(self, ports: MachinePorts) -> Address:
+        """Address where the sidecar receives heartbeats."""
+        return Address(self.ip, ports.heartbeats)
+
     def signal(self, number: signal.Signals) -> None:
         """Send a signal to the running process, if any."""
         if self.process is not None:
@@ -102,6 +106,7 @@
         self.ports = MachinePorts(*ports)
         self._incarnations = 0
         self._configurations_written = 0
+        self._document = b""
         self._target_stacks: dict[str, AsyncExitStack] = {}
 
     @property
@@ -217,8 +222,12 @@
         for port, service_name in routes.items():
             self.checker.allowed_services.setdefault(port, set()).add(service_name)
         self.checker.record_version(self.version, service)
-        document = configuration_document(self.version, SERVICE_IP, routes)
-        await self.store.put(CONFIGURATION_KEY, document)
+        self._document = configuration_document(self.version, SERVICE_IP, routes)
+        await self.repeat_configuration()
+
+    async def repeat_configuration(self) -> None:
+        """Write the newest version again, as the operator does if it was lost."""
+        await self.store.put(CONFIGURATION_KEY, self._document)
 
 
 @asynccontextmanager
