Report a failed watch as such, and log which epoch a process trusts

A watch that fails with an error status counts as failed again, not as lost history: an error may come without the epoch of the store. A new process logs whether a member vouched for the epoch that it starts in.

--- a/src/cranberryhold/flows/store_epoch.py
+++ b/src/cranberryhold/flows/store_epoch.py
@@ -21,6 +21,7 @@
     def trust(self, epoch: int) -> None:
         """Record an epoch in which what the store had lost is known to be back."""
         self._newest = epoch
+        self._telemetry.event("store-epoch", epoch=epoch, trusted=True)
 
     def record(self, epoch: int) -> None:
         """Record the epoch of a response; a late response may be of an older one."""
@@ -29,7 +30,7 @@
             return
         self._newest = epoch
         if previous is None:
-            self._telemetry.event("store-epoch", epoch=epoch)
+            self._telemetry.event("store-epoch", epoch=epoch, trusted=False)
         else:
             self._telemetry.count("store_restores")
             self._telemetry.event(
--- a/src/cranberryhold/platform/store.py
+++ b/src/cranberryhold/platform/store.py
@@ -120,7 +120,8 @@
         )
         epoch = epoch_of(response)
         # A restored store accepts a revision of before, once it has assigned it again.
-        if response.status == 410 or epoch != position.epoch:
+        is_restored = response.status == 200 and epoch != position.epoch
+        if response.status == 410 or is_restored:
             raise StoreHistoryLostError(
                 "the store no longer has the changes since revision "
                 f"{position.revision} of epoch {position.epoch} (now {epoch}); read "
