Share the follower and the running store between the tests

Three test modules built the follower of a configuration, and two a stand-in of the store with a client, in the same way. Assertions are unchanged.

--- a/tests/test_configuration_outages.py
+++ b/tests/test_configuration_outages.py
@@ -2,27 +2,18 @@
 
 import asyncio
 import json
-from collections.abc import AsyncIterator, Callable
-from contextlib import asynccontextmanager
-from random import Random
 
 import pytest
 
 from cranberryhold.exceptions import StoreError
-from cranberryhold.flows.adoption import ConfigurationAdopter
-from cranberryhold.flows.configuration import ConfigurationFollower
-from cranberryhold.flows.dependency import Dependency
 from cranberryhold.flows.leased_store import (
     UNKNOWN_EPOCH,
     ReadResult,
     StoredItem,
     StorePosition,
 )
-from cranberryhold.flows.route_table import RouteTable
-from cranberryhold.flows.telemetry import Telemetry
-from cranberryhold.platform.operator_configuration import OperatorConfiguration
 from cranberryhold.platform.store import CALL_TIMEOUT_S, WATCH_SLACK_S
-from tests.flow_simulation import LogLines
+from tests.following import following
 from tools.virtual_time import run_virtual
 
 KEY = "op/config"
@@ -114,41 +105,6 @@
     return asyncio.get_running_loop().time()
 
 
-@asynccontextmanager
-async def following(
-    store: SilentStore,
-    seed: int,
-    *,
-    limit_s: float,
-    on_change: Callable[[int], None] = lambda _: None,
-) -> AsyncIterator[RouteTable]:
-    """Keep a route table up to date inside the context.
-
-    :param on_change: called with each version that was adopted.
-    """
-    routes, telemetry = RouteTable(60.0, limit_s), Telemetry("test", LogLines(), _now)
-    follower = ConfigurationFollower(
-        ConfigurationAdopter(
-            OperatorConfiguration(),
-            routes,
-            telemetry,
-            monotonic=_now,
-            on_change=lambda: on_change(routes.version),
-        ),
-        store,
-        telemetry,
-        dependency=Dependency("configuration", telemetry, _now),
-        random=Random(seed),
-        monotonic=_now,
-        limit_s=limit_s,
-    )
-    task = asyncio.create_task(follower.run())
-    try:
-        yield routes
-    finally:
-        task.cancel()
-
-
 async def adoption_times(
     store: SilentStore, seed: int, *, limit_s: float, until_s: float
 ) -> dict[int, float]:
@@ -158,7 +114,9 @@
     def record(version: int) -> None:
         times.setdefault(version, _now())
 
-    async with following(store, seed, limit_s=limit_s, on_change=record):
+    async with following(
+        store, limit_s=limit_s, monotonic=_now, seed=seed, on_version=record
+    ):
         await asyncio.sleep(until_s)
     return times
 
@@ -168,7 +126,8 @@
 ) -> list[float]:
     """Return when an outdated version counted as the newest beyond the limit."""
     found = []
-    async with following(store, seed, limit_s=limit_s) as routes:
+    following_store = following(store, limit_s=limit_s, monotonic=_now, seed=seed)
+    async with following_store as (_, routes, _telemetry):
         while _now() < until_s:
             due = store.version(_now() - limit_s)
             if routes.is_current(_now()) and routes.version < due:
--- a/tests/test_flow_store.py
+++ b/tests/test_flow_store.py
@@ -11,14 +11,11 @@
 from cranberryhold.addresses import Address
 from cranberryhold.exceptions import StoreError
 from cranberryhold.flows import announcement, configuration
-from cranberryhold.flows.adoption import ConfigurationAdopter
 from cranberryhold.flows.announcement import Announcer
 from cranberryhold.flows.configuration import (
     CONFIGURATION_PATH,
-    ConfigurationFollower,
 )
 from cranberryhold.flows.dependency import Dependency
-from cranberryhold.flows.http_client import HttpClient
 from cranberryhold.flows.http_server import Response, serving_http
 from cranberryhold.flows.leased_store import (
     ItemList,
@@ -30,32 +27,14 @@
     WITNESSES_PREFIX,
     MemberEntry,
 )
-from cranberryhold.flows.route_table import RouteTable
-from cranberryhold.flows.telemetry import Telemetry
 from cranberryhold.platform import store as platform_store
-from cranberryhold.platform.operator_configuration import OperatorConfiguration
-from cranberryhold.platform.store import PlatformStore
-from emulator.metadata_store import metadata_store
-from tests.flow_simulation import LogLines
+from tests.following import create_telemetry, following, running_store
 from tests.sockets import LOOPBACK_IP, free_port
 from tests.waiting import until
 
 KEY = "op/config"
 
 
-def create_telemetry():
-    return Telemetry("test", LogLines(), lambda: 0.0)
-
-
-@asynccontextmanager
-async def running_store():
-    address = Address(LOOPBACK_IP, free_port())
-    telemetry = create_telemetry()
-    client = HttpClient(address, 1 << 20)
-    async with metadata_store(address, telemetry) as stand_in:
-        yield stand_in, PlatformStore(client, telemetry.count)
-
-
 def document(version, services=("core",)):
     routes = [
         {"name": f"r-{n}", "host": "198.18.0.1", "prefix": f"/{n}/", "service": name}
@@ -152,30 +131,8 @@
 
 
 class TestConfigurationFollower:
-    @asynccontextmanager
-    async def following(self, store, on_change=lambda: None):
-        routes, telemetry = RouteTable(60.0, 3.0), create_telemetry()
-        adopter = ConfigurationAdopter(
-            OperatorConfiguration(),
-            routes,
-            telemetry,
-            monotonic=lambda: 0.0,
-            on_change=on_change,
-        )
-        follower = ConfigurationFollower(
-            adopter,
-            store,
-            telemetry,
-            dependency=Dependency("store", telemetry, lambda: 0.0),
-            random=Random(1),
-            monotonic=lambda: 0.0,
-            limit_s=3.0,
-        )
-        task = asyncio.create_task(follower.run())
-        try:
-            yield follower, routes, telemetry
-        finally:
-            task.cancel()
+    def following(self, store):
+        return following(store, limit_s=3.0, monotonic=lambda: 0.0)
 
     async def test_changes_are_adopted_as_they_arrive(self):
         async with running_store() as (stand_in, store):
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -4,15 +4,11 @@
 import time
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
-from random import Random
 
 import msgspec
 import pytest
 
 from cranberryhold.addresses import Address
-from cranberryhold.flows.adoption import ConfigurationAdopter
-from cranberryhold.flows.configuration import ConfigurationFollower
-from cranberryhold.flows.dependency import Dependency
 from cranberryhold.flows.entry_core import EntryCore
 from cranberryhold.flows.http_client import HttpClient
 from cranberryhold.flows.leased_store import (
@@ -26,15 +22,14 @@
 from cranberryhold.flows.route_table import RouteTable
 from cranberryhold.flows.settings import MemberSettings
 from cranberryhold.flows.store_epoch import EpochTracker
-from cranberryhold.flows.telemetry import Telemetry
 from cranberryhold.platform.operator_configuration import OperatorConfiguration
 from cranberryhold.platform.packets import PacketCodec
 from cranberryhold.platform.store import PlatformStore
-from emulator.metadata_store import MetadataStore, metadata_store
 from emulator.platform_files import configuration_document
-from tests.flow_simulation import ACK, SYN, LogLines
+from tests.flow_simulation import ACK, SYN
 from tests.flow_site import Site, machine_ip, running_site
-from tests.sockets import LOOPBACK_IP, free_port
+from tests.following import create_telemetry, following, running_store
+from tests.sockets import LOOPBACK_IP
 from tests.waiting import until
 
 KEY = "op/config"
@@ -46,19 +41,6 @@
 REGISTRATION_LIMIT_S = 8.0
 
 
-def create_telemetry() -> Telemetry:
-    return Telemetry("test", LogLines(), lambda: 0.0)
-
-
-@asynccontextmanager
-async def running_store() -> AsyncIterator[tuple[MetadataStore, PlatformStore]]:
-    telemetry = create_telemetry()
-    address = Address(LOOPBACK_IP, free_port())
-    async with metadata_store(address, telemetry) as stand_in:
-        client = HttpClient(address, 1 << 20)
-        yield stand_in, PlatformStore(client, telemetry.count)
-
-
 async def test_a_restore_is_logged_once() -> None:
     telemetry, changes = create_telemetry(), []
     tracker = EpochTracker(telemetry, lambda: changes.append(None))
@@ -114,31 +96,11 @@
 
 
 @asynccontextmanager
-async def following(store: PlatformStore) -> AsyncIterator[RouteTable]:
-    """Follow the configuration in the store inside the context."""
+async def routes_of(store: PlatformStore) -> AsyncIterator[RouteTable]:
+    """Yield a route table that follows the store."""
     monotonic = asyncio.get_running_loop().time
-    routes, telemetry = RouteTable(60.0, LIMIT_S), create_telemetry()
-    adopter = ConfigurationAdopter(
-        OperatorConfiguration(),
-        routes,
-        telemetry,
-        monotonic=monotonic,
-        on_change=lambda: None,
-    )
-    follower = ConfigurationFollower(
-        adopter,
-        store,
-        telemetry,
-        dependency=Dependency("configuration", telemetry, monotonic),
-        random=Random(1),
-        monotonic=monotonic,
-        limit_s=LIMIT_S,
-    )
-    task = asyncio.create_task(follower.run())
-    try:
+    async with following(store, limit_s=LIMIT_S, monotonic=monotonic) as (_, routes, _):
         yield routes
-    finally:
-        task.cancel()
 
 
 async def test_a_change_below_a_revision_that_was_assigned_again_is_adopted() -> None:
@@ -155,7 +117,7 @@
             for version in (3, 4):
                 await stand_in.put(KEY, document(version))
 
-        async with following(RestoringStore(store._client, restore)) as routes:
+        async with routes_of(RestoringStore(store._client, restore)) as routes:
             await until(lambda: routes.version == 4, LIMIT_S)
 
 
@@ -200,7 +162,7 @@
         async def restore() -> None:
             await stand_in.restore(copy)
 
-        async with following(RestoringStore(store._client, restore)) as routes:
+        async with routes_of(RestoringStore(store._client, restore)) as routes:
             await until(lambda: routes.version == 2)
             monotonic = asyncio.get_running_loop().time
             await until(lambda: not routes.is_current(monotonic()), 2 * LIMIT_S)
@@ -217,7 +179,7 @@
         await stand_in.put(KEY, document(2))
         copy = stand_in.copy()
         monotonic = asyncio.get_running_loop().time
-        async with following(store) as routes:
+        async with routes_of(store) as routes:
             tracker = EpochTracker(
                 create_telemetry(), lambda: routes.record_restore(monotonic())
             )
