--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -88,6 +88,26 @@
     assert len(errors) == 1
 
 
+async def test_the_configuration_and_the_members_are_of_one_epoch():
+    # Guards against members of a store that was restored after the configuration was
+    # read, and whose list counts as complete.
+    epochs = [1, 2]
+
+    def respond(writer: asyncio.StreamWriter, data: bytes) -> None:
+        page = b'{"items":[],"storeRevision":3}'
+        head = f"HTTP/1.1 200 OK\r\nStore-Era: {epochs.pop(0)}\r\n"
+        writer.write(f"{head}Content-Length: {len(page)}\r\n\r\n".encode() + page)
+
+    errors: list[Exception] = []
+    async with server_with_client(respond) as (client, _):
+        prefixes = ("op/config", "cranberryhold/")
+        state = await asyncio.to_thread(
+            read_bootstrap_state, client._address, *prefixes, errors.append
+        )
+    assert state is None
+    assert "restored" in str(errors[0])
+
+
 async def test_a_response_to_a_call_that_was_given_up_is_not_taken_for_the_next_one():
     def respond_late(writer: asyncio.StreamWriter, data: bytes) -> None:
         delay_s = COPY_DELAY_S if b"/slow" in data else 0.0
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -25,6 +25,7 @@
 from cranberryhold.platform.operator_configuration import OperatorConfiguration
 from cranberryhold.platform.packets import PacketCodec
 from cranberryhold.platform.store import PlatformStore
+from emulator.metadata_store import PAGE_ITEMS
 from emulator.platform_files import configuration_document
 from tests.flow_simulation import ACK, SYN
 from tests.flow_site import Site, machine_ip, running_site
@@ -121,6 +122,27 @@
             await until(lambda: routes.version == 4, LIMIT_S)
 
 
+async def test_a_list_that_is_read_across_a_restore_is_refused(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Guards against a list of members whose pages are of different states.
+    async with running_store() as (stand_in, store):
+        for number in range(2 * PAGE_ITEMS):
+            await stand_in.put(f"a/{number:04}", b"")
+        copy = stand_in.copy()
+        call = store._call
+
+        async def restore_after_first(*arguments, **options):
+            response = await call(*arguments, **options)
+            if stand_in.calls["/kv-range"] == 1:
+                await stand_in.restore(copy)
+            return response
+
+        monkeypatch.setattr(store, "_call", restore_after_first)
+        with pytest.raises(StoreHistoryLostError):
+            await store.list_items("a/", may_be_stale=False)
+
+
 async def test_a_lease_that_was_assigned_to_another_member_is_lost() -> None:
     # Guards against a member that stays unregistered because it renews the lease of
     # another member.
