--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -3,6 +3,7 @@
 import asyncio
 import signal
 from collections.abc import Awaitable, Callable, Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass
 from random import Random
 
@@ -21,6 +22,7 @@
 SEPARATE_DURATION_S = (0.2, 6.0)
 CHANGE_AFTER_OUTAGE_S = (0.0, 0.5)
 RESTORE_OUTAGE_S = (0.02, 1.0)
+RESPONSE_DELIVERY_S = 0.05
 GROUP_KILL_FRACTIONS = (0.3, 0.6, 1.0)
 MIN_REMAINING_TARGETS = 1
 
@@ -122,12 +124,8 @@
 
 
 async def _pause(site: Site, random: Random, duration_s: float) -> None:
-    machine = random.choice(site.machines)
-    site.record_disturbance(machine)
-    machine.signal(signal.SIGSTOP)
-    await asyncio.sleep(duration_s)
-    machine.signal(signal.SIGCONT)
-    site.record_disturbance(machine)
+    with _stopped(site, [random.choice(site.machines)]):
+        await asyncio.sleep(duration_s)
 
 
 async def _reload(site: Site, random: Random, _duration_s: float) -> None:
@@ -177,7 +175,8 @@
 async def _restore_store(site: Site, random: Random, duration_s: float) -> None:
     """Let the store come back from a copy after an outage, and lose what was written.
 
-    The operator writes its newest configuration again, and changes it then.
+    The operator writes its newest configuration again, and changes it then. In half of
+    the cases, the entry daemons sleep over the outage, with unread responses.
     """
     copy = site.store.copy()
     changes = random.randint(0, 2)
@@ -185,14 +184,31 @@
         await asyncio.sleep(duration_s / (changes + 1))
         await site.write_configuration()
     await asyncio.sleep(duration_s / (changes + 1))
-    site.store.error_status = 503
-    await asyncio.sleep(random.uniform(*RESTORE_OUTAGE_S))
-    await site.store.restore(copy)
-    site.store.error_status = None
-    await asyncio.sleep(random.uniform(*CHANGE_AFTER_OUTAGE_S))
-    await site.repeat_configuration()
-    await asyncio.sleep(random.uniform(*CHANGE_AFTER_OUTAGE_S))
-    await site.write_configuration()
+    with _stopped(site, site.entries if random.random() < 0.5 else []):
+        await site.write_configuration()
+        await asyncio.sleep(RESPONSE_DELIVERY_S)
+        site.store.error_status = 503
+        await asyncio.sleep(random.uniform(*RESTORE_OUTAGE_S))
+        await site.store.restore(copy)
+        site.store.error_status = None
+        await asyncio.sleep(random.uniform(*CHANGE_AFTER_OUTAGE_S))
+        await site.repeat_configuration()
+        await asyncio.sleep(random.uniform(*CHANGE_AFTER_OUTAGE_S))
+        await site.write_configuration()
+
+
+@contextmanager
+def _stopped(site: Site, machines: list[Machine]) -> Iterator[None]:
+    """Stop the daemons of some machines inside the context."""
+    for machine in machines:
+        site.record_disturbance(machine)
+        machine.signal(signal.SIGSTOP)
+    try:
+        yield
+    finally:
+        for machine in machines:
+            machine.signal(signal.SIGCONT)
+            site.record_disturbance(machine)
 
 
 async def _write_odd_items(site: Site, random: Random, duration_s: float) -> None:
