--- a/src/cranberryhold/exceptions.py
+++ b/src/cranberryhold/exceptions.py
@@ -4,6 +4,13 @@
 tells the user how to resolve the error.
 """
 
+from msgspec import MsgspecError
+
+DECODE_ERRORS = (MsgspecError, ValueError, RecursionError)
+"""All that msgspec's decoders raise for data that any process may have written. Text
+that is no UTF-8 and integers of thousands of digits give a ``ValueError``, and deep
+nesting, even in a field that is not used, a ``RecursionError``."""
+
 
 class CranberryholdError(Exception):
     """Base class of all errors that the package raises to its callers.
--- a/src/cranberryhold/flows/member_list.py
+++ b/src/cranberryhold/flows/member_list.py
@@ -5,8 +5,7 @@
 from msgspec import Struct, json
 
 from cranberryhold.addresses import pack_host
-from cranberryhold.decoding import DECODE_ERRORS
-from cranberryhold.exceptions import AddressError
+from cranberryhold.exceptions import DECODE_ERRORS, AddressError
 from cranberryhold.flows.leased_store import ItemList
 from cranberryhold.flows.telemetry import Telemetry
 
--- a/src/cranberryhold/flows/peer_messages.py
+++ b/src/cranberryhold/flows/peer_messages.py
@@ -8,7 +8,7 @@
 
 from msgspec import Meta, Struct, msgpack
 
-from cranberryhold.decoding import DECODE_ERRORS
+from cranberryhold.exceptions import DECODE_ERRORS
 
 MAX_DATAGRAM_BYTES = 1200
 MAX_LISTED_PEERS = 64
--- a/src/cranberryhold/manifest/deltas.py
+++ b/src/cranberryhold/manifest/deltas.py
@@ -7,8 +7,7 @@
 from msgspec.msgpack import Decoder
 from pydantic import TypeAdapter, ValidationError
 
-from cranberryhold.decoding import DECODE_ERRORS
-from cranberryhold.exceptions import ManifestError
+from cranberryhold.exceptions import DECODE_ERRORS, ManifestError
 from cranberryhold.manifest.models import (
     AcceptedManifest,
     Manifest,
--- a/src/cranberryhold/membership/messages.py
+++ b/src/cranberryhold/membership/messages.py
@@ -11,8 +11,7 @@
 from msgspec.msgpack import Decoder, Encoder
 
 from cranberryhold.addresses import Address
-from cranberryhold.decoding import DECODE_ERRORS
-from cranberryhold.exceptions import PeerError
+from cranberryhold.exceptions import DECODE_ERRORS, PeerError
 from cranberryhold.membership.members import Member, MemberState, Role
 
 MAX_DATAGRAM_BYTES = 1400
--- a/src/cranberryhold/platform/heartbeats.py
+++ b/src/cranberryhold/platform/heartbeats.py
@@ -6,8 +6,7 @@
 
 import msgspec
 
-from cranberryhold.decoding import DECODE_ERRORS
-from cranberryhold.exceptions import PeerError
+from cranberryhold.exceptions import DECODE_ERRORS, PeerError
 from cranberryhold.flows.http_server import Request
 from cranberryhold.flows.target_state import Heartbeat, TargetPhase
 
--- a/src/cranberryhold/platform/operator_configuration.py
+++ b/src/cranberryhold/platform/operator_configuration.py
@@ -5,8 +5,7 @@
 import msgspec
 
 from cranberryhold.addresses import pack_host
-from cranberryhold.decoding import DECODE_ERRORS
-from cranberryhold.exceptions import AddressError, CranberryholdError
+from cranberryhold.exceptions import DECODE_ERRORS, AddressError, CranberryholdError
 from cranberryhold.flows.route_table import Configuration, Route, WeightedService
 
 DEFAULT_IDLE_TIMEOUT_MS = 60_000
--- a/src/cranberryhold/platform/settings.py
+++ b/src/cranberryhold/platform/settings.py
@@ -6,8 +6,7 @@
 import msgspec
 
 from cranberryhold.addresses import Address
-from cranberryhold.decoding import DECODE_ERRORS
-from cranberryhold.exceptions import AddressError, SettingsError
+from cranberryhold.exceptions import DECODE_ERRORS, AddressError, SettingsError
 from cranberryhold.flows.settings import FlowSidecarSettings, MemberSettings
 
 PATH_VARIABLE = "CRANBERRYHOLD_BOOT"
--- a/src/cranberryhold/platform/store_messages.py
+++ b/src/cranberryhold/platform/store_messages.py
@@ -5,8 +5,7 @@
 
 import msgspec
 
-from cranberryhold.decoding import DECODE_ERRORS
-from cranberryhold.exceptions import StoreError
+from cranberryhold.exceptions import DECODE_ERRORS, StoreError
 from cranberryhold.flows.http_messages import HttpResponse
 from cranberryhold.flows.leased_store import (
     UNKNOWN_EPOCH,
