--- a/review/case_1.py
+++ b/review/1/case.py
@@ -46,4 +46,4 @@
 
 
 if __name__ == "__main__":
-    run_case(Path(__file__).parent / "1", case)
+    run_case(Path(__file__).parent, case)
