Show that flows on a port that is used again are reset

Cause: a sidecar keeps the record of a closed flow for a new one with the same ends, with its first sequence number and the time of its close.

--- a/review/stand_ins/clients.py
+++ b/review/stand_ins/clients.py
@@ -5,7 +5,7 @@
 import socket
 from collections.abc import Callable
 
-from review.stand_ins.packets import ACK, RST, SYN, Packet, decode
+from review.stand_ins.packets import ACK, FIN, RST, SYN, Packet, decode
 from review.stand_ins.record import Record
 
 SYN_COPIES_S = (0.2, 0.4, 0.8)
@@ -27,9 +27,11 @@
         self.client = client
         self.key = (client.ip, sport, host, dport)
         self.is_open = False
-        # Times of resets that the system sent while the flow was open, with senders.
-        self.resets: list[tuple[float, str]] = []
+        # Resets that the system sent after the handshake: time, sender, and name of the
+        # living target at which the flow was open then.
+        self.resets: list[tuple[float, str, str | None]] = []
         self.reset_by_target = False
+        self.closed = False
         self.entry = ""
         self._seq = random.getrandbits(32)
         self._ack = 0
@@ -75,7 +77,8 @@
         if packet.flags & RST:
             if packet.sum == 0:
                 if self.is_open:
-                    self.resets.append((record.now(), sender))
+                    holder = self.client.holder_of(self.key)
+                    self.resets.append((record.now(), sender, holder))
                 else:
                     self.reset_by_target = True
             elif packet.is_sound():
@@ -88,6 +91,11 @@
                 self._seq += 1
                 self._ack = packet.seq + 1
                 self._send(ACK, self._seq, self._ack)
+        elif packet.flags & FIN:
+            if packet.seq == self._ack % 2**32 and not self.closed:
+                self._ack += 1
+                self._send(FIN | ACK, self._seq, self._ack)
+                self.closed = True
         elif packet.data and packet.seq == self._ack % 2**32:
             self._ack += len(packet.data)
             self._answered += 1
@@ -120,6 +128,7 @@
     :param ip: address of the clients.
     :param port: port at which they get packets, that of ``packetAddr``.
     :param route: returns the daemon that the zone's routers forward a packet to.
+    :param holder_of: returns the name of the living target that holds a flow, or None.
     :param record: the record of the case.
     """
 
@@ -128,10 +137,12 @@
         ip: str,
         port: int,
         route: Callable[[tuple[str, int, str, int]], str | None],
+        holder_of: Callable[[tuple[str, int, str, int]], str | None],
         record: Record,
     ) -> None:
         self.ip = ip
         self.record = record
+        self.holder_of = holder_of
         self._port = port
         self._route = route
         self._flows: dict[tuple[str, int, str, int], Flow] = {}
@@ -141,10 +152,12 @@
         self._socket.bind((ip, port))
         asyncio.get_running_loop().add_reader(self._socket.fileno(), self._read)
 
-    def new_flow(self, host: str, dport: int) -> Flow:
-        """Return a new flow from a new port."""
-        flow = Flow(self, self._next_port, host, dport)
-        self._next_port += 1
+    def new_flow(self, host: str, dport: int, sport: int | None = None) -> Flow:
+        """Return a new flow, from a new port unless one is given."""
+        if sport is None:
+            sport = self._next_port
+            self._next_port += 1
+        flow = Flow(self, sport, host, dport)
         self._flows[flow.key] = flow
         return flow
 
--- a/review/stand_ins/site.py
+++ b/review/stand_ins/site.py
@@ -138,19 +138,28 @@
             self.ip(self._next_ip),
             self.ports.packet,
             lambda key: self.route(zone, key),
+            self._holder_of,
             self.record,
         )
         self.clients.append(client)
         return client
 
-    async def start(self, configuration: dict[str, object]) -> None:
-        """Start everything, and wait until traffic may start."""
+    async def start(
+        self, configuration: dict[str, object], *, targets_after_s: float = 0.0
+    ) -> None:
+        """Start everything, and wait until traffic may start.
+
+        :param targets_after_s: time from the start of the daemons to that of the
+            targets.
+        """
         for machine in self.machines:
             await self.store.listen(machine.name, machine.ip, self.ports.store)
         await self.store.put("op/config", configuration)
         self._tasks.append(asyncio.create_task(self._probe()))
         for machine in self.machines:
             await self.start_daemon(machine)
+        await asyncio.sleep(targets_after_s)
+        for machine in self.machines:
             if machine.role == "sidecar":
                 machine.target = Target(
                     f"i-{machine.name}", machine.service, machine, self.record
@@ -225,13 +234,17 @@
         flows = [
             clients[n % len(clients)].new_flow(self.host, dport) for n in range(count)
         ]
+        await self.open_all(flows)
+        return flows
+
+    async def open_all(self, flows: list[Flow]) -> None:
+        """Open these flows; each sends one request."""
         opened = await asyncio.gather(*(flow.open() for flow in flows))
         if not all(opened):
             raise CannotRunError(f"{opened.count(False)} flows did not open")
         results = await self.ask(flows, "first")
         if any(result != "answered" for result in results):
             raise CannotRunError(f"first requests: {results}")
-        return flows
 
     async def ask(self, flows: list[Flow], label: str) -> list[str]:
         """Send a request on each flow at once; return the results."""
@@ -256,25 +269,27 @@
         return None
 
     def wrong_resets(self, flows: list[Flow], since: float) -> list[str]:
-        """Return the resets of open flows by the system while their targets live.
+        """Return the resets of open flows by the system while their targets lived.
 
         :param since: time from which all machines and the store are in touch.
         """
         found = []
+        not_open = 0
         for flow in flows:
-            target = self.holder(flow)
-            for at, sender in flow.resets:
-                if target is None:
+            for at, sender, holder in flow.resets:
+                if holder is None:
+                    not_open += 1
                     continue
                 verdict = "counts" if at >= since else "excused, not in touch"
                 text = (
                     f"FLOW at {at:.3f}: {flow.name}, open at the living target "
-                    f"{target.name}, was reset by {self.name_of(sender)}, its packet "
+                    f"{holder}, was reset by {self.name_of(sender)}, its packet "
                     f"went through {self.name_of(flow.entry)}: {verdict}"
                 )
                 self.record.write(text)
                 if at >= since:
                     found.append(text)
+        self.record.write(f"resets of flows that were open at no target: {not_open}")
         return found
 
     def name_of(self, ip: str) -> str:
@@ -305,6 +320,13 @@
             client.close()
         self.store.close()
 
+    def _holder_of(self, key: tuple[str, int, str, int]) -> str | None:
+        for machine in self.machines:
+            target = machine.target
+            if target is not None and target.holds(key):
+                return target.name
+        return None
+
     async def _probe(self) -> None:
         async def probe(machine: Machine) -> None:
             status = await http.call(
--- a/review/stand_ins/target.py
+++ b/review/stand_ins/target.py
@@ -23,6 +23,9 @@
     initial: int
     is_open: bool = False
     closed: bool = False
+    # Whether this end has sent its FIN.
+    closing: bool = False
+    used_at: float = 0.0
     # Next byte expected from the client, and the next one to send.
     expected: int = 0
     next: int = 0
@@ -47,6 +50,8 @@
         self.acknowledged: list[tuple[float, str, int | None]] = []
         self.born = time.time_ns() // 1_000_000
         self.runs = 0
+        # Seconds after which it closes an idle flow, None for never.
+        self.idle_close_s: float | None = None
         self._seq = 0
         self._record = record
         self._flows: dict[tuple[str, int, str, int], _Flow] = {}
@@ -76,6 +81,7 @@
             f"born {self.born}"
         )
         self._tasks.append(asyncio.create_task(self._beat()))
+        self._tasks.append(asyncio.create_task(self._close_idle()))
 
     async def stop(self) -> None:
         """End at once, as in a crash or after a shutdown."""
@@ -124,6 +130,24 @@
             self.acknowledged.append((self._record.now(), state, status))
             await asyncio.sleep(BEAT_S * random.uniform(0.9, 1.1))
 
+    async def _close_idle(self) -> None:
+        while True:
+            await asyncio.sleep(0.1)
+            now = time.monotonic()
+            for key, flow in list(self._flows.items()):
+                if (
+                    self.idle_close_s is not None
+                    and flow.is_open
+                    and not flow.closing
+                    and now - flow.used_at > self.idle_close_s
+                ):
+                    flow.closing = True
+                    fin = Packet(
+                        *key, FIN | ACK, flow.next % 2**32, flow.expected % 2**32
+                    )
+                    self._send_raw(fin.encode())
+                    flow.next += 1
+
     async def _answer_health(self, *_: object) -> http.Reply:
         return (200 if self.state == "ready" else 503), b"", {}
 
@@ -143,7 +167,7 @@
         key = (packet.src, packet.sport, packet.dst, packet.dport)
         flow = self._flows.get(key)
         if packet.flags & SYN:
-            if flow is None:
+            if flow is None or flow.closed:
                 if len(self._flows) >= MAX_FLOWS:
                     self._send_raw(bounced(datagram))
                     return
@@ -157,6 +181,7 @@
             del self._flows[key]
         elif flow.is_open or packet.ack == flow.next % 2**32:
             flow.is_open = True
+            flow.used_at = time.monotonic()
             self._handle_open(packet, flow, key)
 
     def _handle_open(self, packet: Packet, flow: _Flow, key: tuple) -> None:
@@ -179,7 +204,8 @@
                 )
         if packet.flags & FIN:
             flow.closed = True
-            self._send(packet, FIN | ACK, flow.next, packet.seq + len(packet.data) + 1)
+            flags = ACK if flow.closing else FIN | ACK
+            self._send(packet, flags, flow.next, packet.seq + len(packet.data) + 1)
 
     def _respond(self, packet: Packet, flow: _Flow) -> None:
         if not self.alive:
