Show case 4 of the review with a target that crashes and is back at once

Cause: a sidecar takes all flows that it knows for those of the former incarnation when it first hears of a successor, also those that this one has accepted.

--- a/review/stand_ins/target.py
+++ b/review/stand_ins/target.py
@@ -52,6 +52,8 @@
         self.runs = 0
         # Seconds after which it closes an idle flow, None for never.
         self.idle_close_s: float | None = None
+        # Seconds from the start to the first heartbeat.
+        self.first_beat_after_s = 0.0
         self._seq = 0
         self._record = record
         self._flows: dict[tuple[str, int, str, int], _Flow] = {}
@@ -124,6 +126,7 @@
         )
 
     async def _beat(self) -> None:
+        await asyncio.sleep(self.first_beat_after_s)
         while True:
             state = self.state
             status = await self.post("heartbeat", self.body())
