--- a/review/2/case.py
+++ b/review/2/case.py
@@ -3,8 +3,8 @@
 import asyncio
 from pathlib import Path
 
-from review.stand_ins.case import run_case
-from review.stand_ins.site import (
+from review.case import run_case
+from review.site import (
     STABLE_WINDOW_S,
     Machine,
     Site,
--- a/review/__init__.py
+++ b/review/__init__.py
@@ -1,1 +1,1 @@
-"""Cases of an independent review; REPORT.md lists them."""
+"""Cases of an independent review, and their stand-ins; REPORT.md lists them."""
--- a/review/stand_ins/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Stand-ins of the review for the platform, targets and clients, on loopback."""
--- a/review/stand_ins/store.py
+++ b/review/store.py
@@ -7,8 +7,8 @@
 from collections.abc import Callable
 from urllib.parse import parse_qs, urlsplit
 
-from review.stand_ins.http import Reply, serve
-from review.stand_ins.record import Record
+from review.http import Reply, serve
+from review.record import Record
 
 _PAGE_ITEMS = 500
 
