Keep the stand-ins of the review in the folder of case 1

Cause: a build writes compiled files beside Python files, so files directly in review/ bring a folder back that is no case. Change: the shared stand-ins stand in review/1/stand_ins, and the scripts find them there.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -3,8 +3,8 @@
 import asyncio
 from pathlib import Path
 
-from review.case import run_case
-from review.site import (
+from stand_ins.case import run_case
+from stand_ins.site import (
     CONFIG_APPLY_S,
     STABLE_WINDOW_S,
     Site,
--- /dev/null
+++ b/review/1/stand_ins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform, targets and clients, shared by all cases."""
--- a/review/case.py
+++ b/review/1/stand_ins/case.py
@@ -8,8 +8,8 @@
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
-from review.record import Record
-from review.site import CannotRunError, Site, running_site
+from stand_ins.record import Record
+from stand_ins.site import CannotRunError, Site, running_site
 
 BROKEN, HELD, CANNOT_RUN = 1, 0, 2
 LIMIT_S = 112.0
--- a/review/clients.py
+++ b/review/1/stand_ins/clients.py
@@ -5,8 +5,8 @@
 import socket
 from collections.abc import Callable
 
-from review.packets import ACK, FIN, RST, SYN, Packet, decode
-from review.record import Record
+from stand_ins.packets import ACK, FIN, RST, SYN, Packet, decode
+from stand_ins.record import Record
 
 SYN_COPIES_S = (0.2, 0.4, 0.8)
 FIRST_RETRANSMISSION_S = 0.2
--- a/review/site.py
+++ b/review/1/stand_ins/site.py
@@ -13,13 +13,13 @@
 from pathlib import Path
 from zlib import crc32
 
-from review import http
-from review.clients import Client, Flow
-from review.record import Record
-from review.store import Store
-from review.target import BEAT_S, Target
+from stand_ins import http
+from stand_ins.clients import Client, Flow
+from stand_ins.record import Record
+from stand_ins.store import Store
+from stand_ins.target import BEAT_S, Target
 
-ROOT = Path(__file__).resolve().parents[1]
+ROOT = Path(__file__).resolve().parents[3]
 METRICS_PORT = 9464
 # Figures of the site khata-lb.
 STABLE_WINDOW_S = 4.0
--- a/review/store.py
+++ b/review/1/stand_ins/store.py
@@ -7,8 +7,8 @@
 from collections.abc import Callable
 from urllib.parse import parse_qs, urlsplit
 
-from review.http import Reply, serve
-from review.record import Record
+from stand_ins.http import Reply, serve
+from stand_ins.record import Record
 
 _PAGE_ITEMS = 500
 
--- a/review/target.py
+++ b/review/1/stand_ins/target.py
@@ -7,9 +7,9 @@
 import time
 from dataclasses import dataclass, field
 
-from review import http
-from review.packets import ACK, FIN, RST, SYN, Packet, bounced, decode
-from review.record import Record
+from stand_ins import http
+from stand_ins.packets import ACK, FIN, RST, SYN, Packet, bounced, decode
+from stand_ins.record import Record
 
 SLOTS = 4
 MAX_FLOWS = 2000
