--- a/review/common2/deployment.py
+++ b/review/common2/deployment.py
@@ -127,6 +127,7 @@
     :param store: the stand-in of the store.
     :param entries: number of ``frontend`` machines.
     :param sides: number of ``side`` machines.
+    :param idle_timeout_s: ``idleTimeoutMs`` of the configuration, in seconds.
     """
 
     def __init__(
@@ -137,13 +138,11 @@
         entries: int = 2,
         sides: int = 3,
         idle_timeout_s: float = 15.0,
-        target: "type[Target] | None" = None,
     ) -> None:
         self.record = record
         self.store = store
         self.max_flow_s = 60
         self._idle_timeout_s = idle_timeout_s
-        self._target_type = target or Target
         self.random = Random(1)
         self.machines: list[Machine] = []
         self.violations: list[str] = []
@@ -153,8 +152,7 @@
         self._stack = AsyncExitStack()
         self._directory = Path(self._stack.enter_context(_temporary_directory()))
         self._first_ip = _FIRST_BLOCK_IP + os.getpid() % _BLOCK_COUNT * _BLOCK_SIZE
-        ports = [a.port for a in free_addresses(8, self._ip(0))]
-        self.status_port = ports.pop()
+        ports = [a.port for a in free_addresses(7, self._ip(0))]
         self.ports = MachinePorts(*ports)
         self._watchers: set[asyncio.Task[None]] = set()
         self._deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())
@@ -403,7 +401,7 @@
         :param service: its service, None for the one of the machine.
         """
         number = len(self.targets) + 1
-        target = self._target_type(
+        target = Target(
             name or f"i-{number}",
             service or machine.service,
             machine.ip,
