--- a/src/cranberryhold/flows/adoption.py
+++ b/src/cranberryhold/flows/adoption.py
@@ -67,7 +67,9 @@
         """Version in effect, 0 before the first."""
         return self._routes.version
 
-    def apply_read(self, item: StoredItem | None, as_of: float) -> None:
+    def apply_read(
+        self, item: StoredItem | None, as_of: float, **origin: object
+    ) -> None:
         """Apply the result of a read of the store.
 
         The configuration in effect counts as the newest if it is the stored one. A
@@ -76,11 +78,12 @@
 
         :param item: the stored configuration, or None if there is none.
         :param as_of: monotonic time in seconds of the state that was read.
+        :param origin: fields for the log that tell about the call.
         """
         self._stored_version = None
         if item is not None:
             self._stored_version = self.adopt(
-                item.value, source="store", revision=item.revision
+                item.value, source="store", revision=item.revision, **origin
             )
         elif self._routes.configuration is not None:
             self._telemetry.event("configuration-missing", in_effect=self.version)
@@ -117,6 +120,7 @@
                 in_effect=self._routes.version,
                 **origin,
             )
+        outdated_s = self._routes.outdated_s(now)
         if not self._routes.adopt(configuration, now):
             return configuration.version
         added, removed = changed_routes(
@@ -131,6 +135,7 @@
             added=len(added),
             removed=",".join(removed[:10]),
             confirmed_s=round(self._routes.confirmation_age_s(now), 3),
+            outdated_s=None if outdated_s is None else round(outdated_s, 3),
             **origin,
         )
         self._on_change()
--- a/src/cranberryhold/flows/configuration.py
+++ b/src/cranberryhold/flows/configuration.py
@@ -115,8 +115,9 @@
             result = await self._store.get(key, prefix=self._prefix)
             if self._evacuations is not None:
                 self._evacuations.apply_read(result.other_keys, result.position, as_of)
-            self._adopter.apply_read(result.item, as_of)
+            self._adopter.apply_read(result.item, as_of, **self._call("read", as_of))
             return result.position
+        called_at = as_of
         wait_s = self._watch_wait_s * self._random.uniform(1.0 - WATCH_WAIT_JITTER, 1.0)
         result = await self._store.wait_for_change(
             key, position, wait_s, prefix=self._prefix
@@ -126,14 +127,22 @@
         if self._evacuations is not None:
             self._evacuations.apply_changes(result, as_of)
         if result.item is not None:
-            self._adopter.apply_read(result.item, as_of)
+            call = self._call("watch", called_at)
+            self._adopter.apply_read(result.item, as_of, **call)
         else:
             self._adopter.apply_unchanged(as_of)
         return result.position
 
+    def _call(self, kind: str, called_at: float) -> dict[str, object]:
+        """Return the log fields of a call that has ended."""
+        return {"call": kind, "call_s": round(self._monotonic() - called_at, 3)}
+
     async def fetch_from(self, peer: Address, version: int) -> None:
         """Fetch a peer's configuration if its version is newer than the own one."""
-        if version <= self._adopter.version or self._fetching:
+        if version <= self._adopter.version:
+            return
+        if self._fetching:
+            self._telemetry.count("configuration_reports_skipped")
             return
         self._fetching = True
         try:
--- a/src/cranberryhold/flows/dependency.py
+++ b/src/cranberryhold/flows/dependency.py
@@ -20,10 +20,13 @@
         self._telemetry = telemetry
         self._monotonic = monotonic
         self._lost_at: float | None = None
+        # Failures since the last success.
+        self._failures = 0
 
     def record_failure(self, reason: object) -> None:
         """Count a failure, and log the first one since the last success."""
         self._telemetry.count(f"{self._name}_failures")
+        self._failures += 1
         if self._lost_at is None:
             self._lost_at = self._monotonic()
             self._telemetry.event(
@@ -34,7 +37,11 @@
         """Log the recovery if the dependency was unavailable."""
         if self._lost_at is not None:
             seconds = self._monotonic() - self._lost_at
-            self._lost_at = None
             self._telemetry.event(
-                "dependency-regained", name=self._name, after_s=round(seconds, 3)
+                "dependency-regained",
+                name=self._name,
+                after_s=round(seconds, 3),
+                failures=self._failures,
             )
+            self._lost_at = None
+            self._failures = 0
--- a/src/cranberryhold/flows/entry_core.py
+++ b/src/cranberryhold/flows/entry_core.py
@@ -183,7 +183,7 @@
             self._stored_evacuations.apply_read(
                 state.other_keys, state.position, state.read_at
             )
-        self._adopter.apply_read(state.configuration, state.read_at)
+        self._adopter.apply_read(state.configuration, state.read_at, call="start")
 
     def apply_settings(self, settings: MemberSettings) -> None:
         """Apply changed settings, except the addresses of open sockets."""
@@ -200,6 +200,13 @@
         """Register a callback for peers that report a newer configuration."""
         self._on_newer_version = fetch
 
+    def log_serving(self) -> None:
+        """Log that this instance follows changes from now on."""
+        confirmed_s = self._routes.confirmation_age_s(time.monotonic())
+        self._telemetry.event(
+            "serving", version=self._routes.version, confirmed_s=round(confirmed_s, 3)
+        )
+
     def document(self) -> bytes | None:
         """Return the configuration in effect as the operator wrote it."""
         configuration = self._routes.configuration
@@ -291,6 +298,7 @@
             "entries": len(self._member.peers.entries),
             "sidecars": len(self._member.peers.sidecars),
             "configuration_version": self._routes.version,
+            "configuration_newest_known_version": self._routes.newest_known_version,
             "configuration_confirmation_age_seconds": self._routes.confirmation_age_s(
                 now
             ),
@@ -339,7 +347,7 @@
                     # It may have missed the first list, or members found since.
                     self._member.send_known_members(ip, message.zone)
                 self._evacuations.record_notice(message.evacuation, inet_ntoa(ip))
-                self._routes.record_known_version(message.version)
+                self._routes.record_known_version(message.version, time.monotonic())
                 if message.version > self._routes.version:
                     self._notify_newer_version(ip, message.version)
 
--- a/src/cranberryhold/flows/entry_daemon.py
+++ b/src/cranberryhold/flows/entry_daemon.py
@@ -114,7 +114,7 @@
                     self._components.settings_watch.run(),
                 )
             ]
-            self._telemetry.event("serving")
+            self._core.log_serving()
             await self._components.stop.wait()
             await self._leave_rotation()
             self._member.leave(flows=0)
--- a/src/cranberryhold/flows/route_table.py
+++ b/src/cranberryhold/flows/route_table.py
@@ -95,6 +95,8 @@
         self._entries: dict[tuple[bytes, int], _RouteEntry] = {}
         self._configuration: Configuration | None = None
         self._newest_known_version = 0
+        # Since then, another member is known to have a newer configuration.
+        self._outdated_since: float | None = None
         self._confirmed_at = -inf
         # The store is not trusted to have the newest configuration before this time.
         self._unconfirmable_until = -inf
@@ -138,9 +140,22 @@
         """
         return now - self._confirmed_at
 
-    def record_known_version(self, version: int) -> None:
+    @property
+    def newest_known_version(self) -> int:
+        """Version of the newest configuration that any member is known to have."""
+        return max(self.version, self._newest_known_version)
+
+    def record_known_version(self, version: int, now: float) -> None:
         """Record the version of a configuration that another member has."""
         self._newest_known_version = max(self._newest_known_version, version)
+        if version > self.version and self._outdated_since is None:
+            self._outdated_since = now
+
+    def outdated_s(self, now: float) -> float | None:
+        """Return the seconds since a newer version is known, None if none is."""
+        if self._outdated_since is None:
+            return None
+        return now - self._outdated_since
 
     def is_current(self, now: float) -> bool:
         """Whether the configuration is known to be the newest one."""
@@ -165,6 +180,8 @@
             for route in configuration.routes
         }
         self._configuration = configuration
+        if self.version >= self._newest_known_version:
+            self._outdated_since = None
         return True
 
     def service_for_new_flow(self, ip: bytes, port: int, key: bytes) -> bytes | None:
--- a/tests/test_flow_paths.py
+++ b/tests/test_flow_paths.py
@@ -326,7 +326,7 @@
 def test_no_flow_is_reset_for_want_of_a_route_while_a_member_has_a_newer_version():
     caller, routes = removed_route()
     routes.confirm(caller.sim.clock())
-    routes.record_known_version(3)
+    routes.record_known_version(3, 0.0)
     assert send_syn(caller, copy=1) == []
     routes.adopt(configuration(version=3, port=80), caller.sim.clock())
     assert send_syn(caller, copy=2) == [True]
--- a/tests/test_flow_store.py
+++ b/tests/test_flow_store.py
@@ -10,6 +10,7 @@
 
 from cranberryhold.addresses import Address
 from cranberryhold.exceptions import StoreError
+from cranberryhold.explain import parse_line
 from cranberryhold.flows import announcement, configuration
 from cranberryhold.flows.announcement import Announcer
 from cranberryhold.flows.configuration import (
@@ -202,6 +203,28 @@
                 assert routes.version == 9
                 await follower.fetch_from(peer, 9)
 
+    async def test_the_log_tells_which_call_brought_a_version_and_what_failed(self):
+        # Guards against a late version of which no log line tells by which way it
+        # came, how many calls had failed, and whether another member had it earlier.
+        async with running_store() as (stand_in, store):
+            stand_in.error_status = 503
+            async with self.following(store) as (_, routes, telemetry):
+                await until(lambda: telemetry.counts["configuration_failures"] >= 2)
+                routes.record_known_version(3, 0.0)
+                await stand_in.put(KEY, document(3))
+                stand_in.error_status = None
+                await until(lambda: routes.version == 3)
+                await stand_in.put(KEY, document(4))
+                await until(lambda: routes.version == 4)
+        lines = list(map(parse_line, telemetry.output.written))
+        regained = next(x.fields for x in lines if x.event == "dependency-regained")
+        assert int(regained["failures"]) >= 2
+        adopted = [x.fields for x in lines if x.event == "configuration-adopted"]
+        assert [e["call"] for e in adopted] == ["read", "watch"]
+        assert float(adopted[0]["outdated_s"]) >= 0.0
+        assert adopted[1]["outdated_s"] == "null"
+        assert all(float(e["call_s"]) >= 0.0 for e in adopted)
+
     async def test_an_unresponsive_peer_is_logged(self):
         async with (
             running_store() as (_, store),
