Ask several members for a newer configuration

An entry daemon asked one member at a time. If that one did not answer, for up to 2 s, reports of all others were dropped, as were those that came while a new process loads its modules. A member in another data centre repeats its report after up to 10 s. A daemon whose watch is lost as well would serve callers by a removed route for that long. Change: PeerConfigurations keeps the reports, asks the next member after 0.3 s or a failure, up to three at a time, and ends all when the newest version is in effect. EntryCore keeps reports until there is a callback. The counter of dropped reports goes. Ruled out: asking all members at once, which would send the document of each change once per pair of members.

--- a/src/cranberryhold/flows/configuration.py
+++ b/src/cranberryhold/flows/configuration.py
@@ -4,12 +4,10 @@
 from collections.abc import Callable
 from random import Random
 
-from cranberryhold.addresses import Address
-from cranberryhold.exceptions import PeerError, StoreError
+from cranberryhold.exceptions import StoreError
 from cranberryhold.flows.adoption import ConfigurationAdopter
 from cranberryhold.flows.dependency import Dependency
 from cranberryhold.flows.evacuation.stored import StoredEvacuations
-from cranberryhold.flows.http_client import HttpClient
 from cranberryhold.flows.leased_store import (
     LeasedStore,
     StoreHistoryLostError,
@@ -26,9 +24,6 @@
 WATCH_WAIT_JITTER = 0.2
 # Longest delay in seconds after the first failed call, and after any failed call.
 BACKOFF_S = (0.15, 1.0)
-PEER_TIMEOUT_S = 2.0
-MAX_DOCUMENT_BYTES = 1 << 20
-CONFIGURATION_PATH = "/configuration"
 
 
 def watch_wait_s(recovery_s: float) -> float:
@@ -43,7 +38,7 @@
 
 
 class ConfigurationFollower:
-    """Fetches newer versions from the store, and from peers that have them earlier.
+    """Fetches newer versions from the store.
 
     A response can be lost without notice, so a watch is short enough for a read after
     it within the limit. After a failed call, the item is read without waiting: such a
@@ -81,7 +76,6 @@
         self._telemetry = telemetry
         self._random = random
         self._monotonic = monotonic
-        self._fetching = False
 
     async def run(self, position: StorePosition | None = None) -> None:
         """Follow changes in the store until cancelled.
@@ -134,24 +128,3 @@
     def _call(self, kind: str, called_at: float) -> dict[str, object]:
         """Return the log fields of a call that has ended."""
         return {"call": kind, "call_s": round(self._monotonic() - called_at, 3)}
-
-    async def fetch_from(self, peer: Address, version: int) -> None:
-        """Fetch a peer's configuration if its version is newer than the own one."""
-        if version <= self._adopter.version:
-            return
-        if self._fetching:
-            self._telemetry.count("configuration_reports_skipped")
-            return
-        self._fetching = True
-        try:
-            response = await HttpClient(peer, MAX_DOCUMENT_BYTES).call(
-                "GET", CONFIGURATION_PATH, b"", PEER_TIMEOUT_S
-            )
-            if response.status == 200:
-                self._adopter.adopt(response.body, source=str(peer))
-        except PeerError as error:
-            self._telemetry.flow_event(
-                "configuration-not-fetched", peer=str(peer), error=error
-            )
-        finally:
-            self._fetching = False
--- a/src/cranberryhold/flows/entry_core.py
+++ b/src/cranberryhold/flows/entry_core.py
@@ -108,6 +108,8 @@
         self._sent_ready = False
         self._guard = RotationGuard(self._member.random)
         self._on_newer_version: Callable[[Address, int], None] | None = None
+        # Reports of members from before there was a callback.
+        self._early_reports: dict[Address, int] = {}
 
     @property
     def settings(self) -> MemberSettings:
@@ -197,8 +199,13 @@
         self._member.add_seeds(settings.seeds)
 
     def on_newer_version(self, fetch: Callable[[Address, int], None]) -> None:
-        """Register a callback for peers that report a newer configuration."""
+        """Register a callback for peers that report a newer configuration.
+
+        It is called at once for those that have reported one since the start.
+        """
         self._on_newer_version = fetch
+        while self._early_reports:
+            fetch(*self._early_reports.popitem())
 
     def log_serving(self) -> None:
         """Log that this instance follows changes from now on."""
@@ -360,11 +367,12 @@
         return self.is_ready() and self._member.peers.rotation().keeps_half()
 
     def _notify_newer_version(self, ip: bytes, version: int) -> None:
+        port = self._settings.peer_address.port
+        peer = Address.unpack(ip + port.to_bytes(2, "big"))
         if self._on_newer_version is not None:
-            port = self._settings.peer_address.port
-            self._on_newer_version(
-                Address.unpack(ip + port.to_bytes(2, "big")), version
-            )
+            self._on_newer_version(peer, version)
+        else:
+            self._early_reports[peer] = version
 
     def _status(self, interval_s: float) -> EntryStatus:
         """Return the status of this instance.
--- a/src/cranberryhold/flows/entry_daemon.py
+++ b/src/cranberryhold/flows/entry_daemon.py
@@ -4,8 +4,7 @@
 import time
 from collections.abc import Callable
 
-from cranberryhold.addresses import Address
-from cranberryhold.flows.configuration import CONFIGURATION_PATH, ConfigurationFollower
+from cranberryhold.flows.configuration import ConfigurationFollower
 from cranberryhold.flows.dependency import Dependency
 from cranberryhold.flows.early_forwarding import SocketHandler
 from cranberryhold.flows.entry_core import EntryCore
@@ -19,6 +18,10 @@
     state_response,
     sweep_regularly,
 )
+from cranberryhold.flows.peer_configurations import (
+    CONFIGURATION_PATH,
+    PeerConfigurations,
+)
 from cranberryhold.flows.settings import RESTART_ONLY_PREFIXES, MemberSettings
 
 # The fabric stops sending after two failed probes, half a second apart; the rest
@@ -76,7 +79,7 @@
             recovery_s=core.settings.configuration_recovery_s,
             evacuations=core.stored_evacuations if core.evacuations.enabled else None,
         )
-        self._fetches: set[asyncio.Task[None]] = set()
+        self._peer_configurations = PeerConfigurations(core.adopter, self._telemetry)
 
     async def run(
         self, socket_handlers: list[SocketHandler], position: StorePosition | None
@@ -88,7 +91,7 @@
             read, or None if it has not been read yet.
         """
         self._components.stop.install()
-        self._core.on_newer_version(self._fetch_configuration)
+        self._core.on_newer_version(self._peer_configurations.report)
         async with reading_sockets(socket_handlers):
             await self._serve(position)
 
@@ -121,11 +124,6 @@
             for task in running:
                 task.cancel()
 
-    def _fetch_configuration(self, peer: Address, version: int) -> None:
-        task = asyncio.create_task(self._follower.fetch_from(peer, version))
-        self._fetches.add(task)
-        task.add_done_callback(self._fetches.discard)
-
     async def _broadcast_status(self) -> None:
         while True:
             interval_s = self._core.send_status()
--- a/tests/test_flow_store.py
+++ b/tests/test_flow_store.py
@@ -8,16 +8,11 @@
 
 import pytest
 
-from cranberryhold.addresses import Address
 from cranberryhold.exceptions import StoreError
 from cranberryhold.explain import parse_line
 from cranberryhold.flows import announcement, configuration
 from cranberryhold.flows.announcement import Announcer
-from cranberryhold.flows.configuration import (
-    CONFIGURATION_PATH,
-)
 from cranberryhold.flows.dependency import Dependency
-from cranberryhold.flows.http_server import Response, serving_http
 from cranberryhold.flows.leased_store import (
     ItemList,
     LeaseLostError,
@@ -30,7 +25,6 @@
 )
 from cranberryhold.platform import store as platform_store
 from tests.following import create_telemetry, following, running_store
-from tests.sockets import LOOPBACK_IP, free_port
 from tests.waiting import until
 
 KEY = "op/config"
@@ -186,23 +180,6 @@
                 await asyncio.sleep(0.5)
                 assert 5 <= stand_in.calls["/kv-range"] <= 30
 
-    async def test_a_newer_version_is_fetched_from_a_peer(self):
-        async with running_store() as (stand_in, store):
-            stand_in.error_status = 503
-            peer = Address(LOOPBACK_IP, free_port())
-
-            async def page(request):
-                known = request.path == CONFIGURATION_PATH
-                return Response(200, document(9)) if known else Response(404)
-
-            async with (
-                serving_http(peer, page, create_telemetry()),
-                self.following(store) as (follower, routes, _),
-            ):
-                await follower.fetch_from(peer, 9)
-                assert routes.version == 9
-                await follower.fetch_from(peer, 9)
-
     async def test_the_log_tells_which_call_brought_a_version_and_what_failed(self):
         # Guards against a late version of which no log line tells by which way it
         # came, how many calls had failed, and whether another member had it earlier.
@@ -225,17 +202,6 @@
         assert adopted[1]["outdated_s"] == "null"
         assert all(float(e["call_s"]) >= 0.0 for e in adopted)
 
-    async def test_an_unresponsive_peer_is_logged(self):
-        async with (
-            running_store() as (_, store),
-            self.following(store) as (follower, routes, telemetry),
-        ):
-            await follower.fetch_from(Address(LOOPBACK_IP, free_port()), 9)
-            assert routes.version == 0
-            assert any(
-                "configuration-not-fetched" in line for line in telemetry.output.written
-            )
-
 
 def serve_old_stale_lists(monkeypatch, store, key):
     """Let the store answer stale reads with a state that has this item only."""
