Test a changed configuration around two outages in a row

Change: SilentStore takes several outages; a test draws two, with gaps of 0.05 to 4 s, for each of the users' bounds.

--- a/tests/test_configuration_outages.py
+++ b/tests/test_configuration_outages.py
@@ -29,7 +29,7 @@
 
     :cvar prefix: prefix of the keys that its clients read.
 
-    :param outage: start and end of the outage.
+    :param outages: start and end of each outage.
     :param changes: times at which versions 2, 3, ... are written.
     :param response_s: seconds that a response is under way.
     """
@@ -38,12 +38,12 @@
 
     def __init__(
         self,
-        outage: tuple[float, float],
+        outages: list[tuple[float, float]],
         changes: list[float],
         *,
         response_s: float = RESPONSE_TIME_S,
     ) -> None:
-        self._outage = outage
+        self._outages = outages
         self._changes = changes
         self._response_s = response_s
         self.malformed_versions: set[int] = set()
@@ -84,9 +84,10 @@
         return result
 
     async def _respond_after(self, delay_s: float, timeout_s: float) -> None:
-        start, end = self._outage
         now = _now()
-        lost = (now < end and now + delay_s > start) or delay_s > timeout_s
+        lost = delay_s > timeout_s or any(
+            now < end and now + delay_s > start for start, end in self._outages
+        )
         await asyncio.sleep(timeout_s if lost else delay_s)
         if lost:
             raise StoreError("no response", step="watch")
@@ -168,7 +169,7 @@
         end = start + length_s
         change = end + 0.2
         limit = max(change + change_limit_s, end + outage_limit_s)
-        store = SilentStore((start, end), [FIRST_CHANGE_S, change])
+        store = SilentStore([(start, end)], [FIRST_CHANGE_S, change])
         times = adoption_times(
             store,
             step,
@@ -181,6 +182,33 @@
     assert not late
 
 
+@pytest.mark.parametrize("gap_s", [0.05, 0.3, 1.0, 2.0, 4.0])
+@pytest.mark.parametrize(("change_limit_s", "outage_limit_s"), LIMITS_S)
+def test_a_change_after_two_silent_outages_is_in_force_in_time(
+    change_limit_s: float, outage_limit_s: float, gap_s: float
+) -> None:
+    # Guards against two losses in a row: of a watch in the first outage, and in the
+    # second one of the read that follows the watch.
+    late = []
+    for step in range(60):
+        start = FIRST_CHANGE_S + 0.05 + step * 0.05
+        second = start + 0.1 + gap_s
+        end = second + 0.1 + step % 10 * 0.2
+        change = end + 0.01
+        limit = max(change + change_limit_s, end + outage_limit_s)
+        outages = [(start, start + 0.1), (second, end)]
+        times = adoption_times(
+            SilentStore(outages, [FIRST_CHANGE_S, change]),
+            step,
+            limits_s=(change_limit_s, outage_limit_s),
+            until_s=limit + 20.0,
+        )
+        adopted = run_virtual(times)[3]
+        if adopted > limit:
+            late.append((round(start, 2), round(adopted - limit, 2)))
+    assert not late
+
+
 @pytest.mark.parametrize("response_s", [0.3, 0.7])
 @pytest.mark.parametrize(("change_limit_s", "outage_limit_s"), LIMITS_S)
 def test_a_change_is_in_force_in_time_if_the_read_after_a_lost_watch_is_slow(
@@ -195,7 +223,7 @@
         change = end + 0.01
         limit = max(change + change_limit_s, end + outage_limit_s)
         store = SilentStore(
-            (start, end), [FIRST_CHANGE_S, change], response_s=response_s
+            [(start, end)], [FIRST_CHANGE_S, change], response_s=response_s
         )
         times = adoption_times(
             store,
@@ -220,14 +248,14 @@
     for step in range(40):
         change = FIRST_CHANGE_S + 0.1 * step
         outage = change + response_s, change + 60.0
-        store = SilentStore(outage, [change], response_s=response_s)
+        store = SilentStore([outage], [change], response_s=response_s)
         stale = times_of_stale_confidence(store, step, limit_s=limit_s, until_s=30.0)
         assert run_virtual(stale) == []
 
 
 def test_a_configuration_is_not_the_newest_if_the_stored_one_is_unreadable() -> None:
     # Guards against a reset of callers of a route that only the unreadable version has.
-    store = SilentStore((0.0, 0.0), [FIRST_CHANGE_S])
+    store = SilentStore([], [FIRST_CHANGE_S])
     store.malformed_versions.add(2)
     stale = times_of_stale_confidence(store, 1, limit_s=3.0, until_s=30.0)
     assert run_virtual(stale) == []
--- a/tests/test_evacuation_store.py
+++ b/tests/test_evacuation_store.py
@@ -162,7 +162,7 @@
         start = FIRST_CHANGE_S + 0.05 + step * 0.2
         for change in (start + length_s / 2, start + length_s + 0.1):
             limit = max(change, start + length_s) + LIMIT_S
-            store = EvacuatingStore((start, start + length_s), [change])
+            store = EvacuatingStore([(start, start + length_s)], [change])
             assert run_virtual(adopted_at(store, step, limit + 20.0)) <= limit
 
 
