Leave it to the target which flows end when another one seems to run

Cause: at the first heartbeat of another incarnation, a sidecar took all flows that it knew for those of a former target, reset them at their next packet, and took its table for complete. Change: the flows are kept, without their requests, and packets go on to the target. A target returns packets of flows that it does not hold, so that one returned for a flow that it had accepted is answered with a reset at once. An opening on the ports of such a flow is a new one until the target has sent on it. A replacement completes the table only after a second heartbeat, if start time and number show that the target is younger than the sidecar process. Ruled out: comparing the start of the target with the time of each flow's opening, as the clock may be set.

--- a/src/cranberryhold/flows/flow_table.py
+++ b/src/cranberryhold/flows/flow_table.py
@@ -66,6 +66,8 @@
     :param reported_to: entry instance to which the flow was last reported.
     :param received_end: sequence number after the last byte that the caller sent, or
         None before the first.
+    :param doubted: whether the target may have been replaced since its last packet on
+        the flow.
     """
 
     initial_sequence: int | None
@@ -77,6 +79,7 @@
     closed_at: float | None = None
     reported_to: bytes = b""
     received_end: int | None = None
+    doubted: bool = False
 
     def is_recent(self, now: float, age_s: float) -> bool:
         """Whether its target has not closed it, and it had a packet within a time."""
@@ -93,6 +96,14 @@
         self.received_end = end
         return True
 
+    def was_accepted_here(self, segment: Segment) -> bool:
+        """Whether a caller's packet certainly is of the flow that was accepted here."""
+        return (
+            self.initial_sequence is not None
+            and segment.ack
+            and self.accepts_acknowledgment(segment)
+        )
+
     def accepts_acknowledgment(self, segment: Segment) -> bool:
         """Whether a caller's packet acknowledges bytes that this target sent.
 
@@ -147,6 +158,11 @@
         """Return the record of a flow, or None."""
         return self._flows.get(key)
 
+    def accepted(self, key: bytes) -> FlowRecord | None:
+        """Return the record of a flow that the present target has accepted, or None."""
+        record = self._flows.get(key)
+        return None if record is None or record.doubted else record
+
     def established_flows(self) -> Iterator[tuple[bytes, FlowRecord]]:
         """Yield the flows that are established and that the target has not closed."""
         for key, record in self._flows.items():
@@ -186,6 +202,7 @@
         elif record is None:
             record = self._insert(key, FlowRecord(None, end, now, established=True))
         record.last_used = now
+        record.doubted = False
         if sequence_distance(end, record.next_sequence) < 1 << 31:
             record.next_sequence = end
         if segment.length or segment.fin or segment.rst:
@@ -204,6 +221,18 @@
             if record.closed_at is not None:
                 self._closed -= 1
 
+    def doubt_all(self) -> None:
+        """Keep all flows, but none of their requests, until the target sends on them.
+
+        Another target may run in place of the one that accepted them.
+        """
+        for record in self._flows.values():
+            record.running = False
+            record.doubted = True
+        self._running = 0
+        if self._requests is not None:
+            self._requests.clear()
+
     def clear(self) -> None:
         """Remove all flows."""
         self._flows.clear()
--- a/src/cranberryhold/flows/sidecar_datapath.py
+++ b/src/cranberryhold/flows/sidecar_datapath.py
@@ -108,7 +108,8 @@
         self._ended_flows: dict[bytes, str] = {}
         self._ended_flows_expire_at = 0.0
         # Until then, the target may hold flows that are missing from the table.
-        self._incomplete_until = monotonic() + max_flow_s
+        self._started_at = monotonic()
+        self._incomplete_until = self._started_at + max_flow_s
         self._stopping = False
 
     @property
@@ -154,11 +155,12 @@
         is_first = self._target.last_heartbeat is None
         outcome = self._target.record_heartbeat(heartbeat, self._boot_time())
         self._cold_start.record_heartbeat(heartbeat, outcome)
-        if outcome is BeatOutcome.NEW_INCARNATION:
-            if not is_first:
-                self._end_flows("target-replaced")
-            if not is_first or self._target.was_unheard(heartbeat, self._unix_time()):
-                self._incomplete_until = self._monotonic()
+        if outcome is BeatOutcome.NEW_INCARNATION and not is_first:
+            self._openings.record_target_replaced()
+        if self._monotonic() < self._incomplete_until and self._has_seen_all_flows(
+            heartbeat, outcome, is_first=is_first
+        ):
+            self._incomplete_until = self._monotonic()
         if outcome is not BeatOutcome.REFRESHED:
             self._telemetry.event(
                 "target-heartbeat",
@@ -174,6 +176,21 @@
         self._openings.serve_queue()
         return outcome
 
+    def _has_seen_all_flows(
+        self, heartbeat: Heartbeat, outcome: BeatOutcome, *, is_first: bool
+    ) -> bool:
+        """Whether the target has been offered no flow before this process started.
+
+        A single heartbeat in place of a target that was heard before proves nothing: it
+        may be of another writer.
+        """
+        if is_first:
+            return self._target.was_unheard(heartbeat, self._unix_time())
+        uptime_s = self._monotonic() - self._started_at
+        return outcome is BeatOutcome.REFRESHED and self._target.is_certainly_younger(
+            heartbeat, uptime_s, self._unix_time()
+        )
+
     def serves_sender(self, heartbeat: Heartbeat) -> bool:
         """Whether packets are delivered to the target that sent a heartbeat."""
         return self._target.describes(heartbeat)
@@ -334,7 +351,7 @@
     def deliver(self, envelope: Envelope, segment: Segment, key: bytes) -> None:
         """Deliver a packet to the target."""
         if segment.syn:
-            self._cold_start.record_delivered(key, segment, self._flows.get(key))
+            self._cold_start.record_delivered(key, segment, self._flows.accepted(key))
         self._flows.record_delivered(key, segment, self._monotonic())
         token = self._pending.add(envelope)
         self._telemetry.count("packets_to_target")
@@ -351,14 +368,18 @@
             self._openings.handle_returned(envelope, key)
             return
         record = self._flows.get(key)
-        self._cold_start.record_lost_flow(record)
-        self._openings.record_lost_flow(record)
+        accepted = self._flows.accepted(key)
+        self._cold_start.record_lost_flow(accepted)
+        self._openings.record_lost_flow(accepted)
         self._flows.remove(key)
         if envelope.purpose is Purpose.SEARCH_INCONCLUSIVE:
             self._continue_search(envelope, segment, key)
             return
         self._output.send_to_peer(envelope.origin, FlowNotHeld(key))
-        self._discard(key, "returned")
+        if record is not None and record.was_accepted_here(segment):
+            self._send_reset(key, segment, "not-held-any-more")
+        else:
+            self._discard(key, "returned")
 
     def _report_held(self, key: bytes, origin: bytes) -> None:
         record = self._flows.get(key)
--- a/src/cranberryhold/flows/sidecar_openings.py
+++ b/src/cranberryhold/flows/sidecar_openings.py
@@ -120,7 +120,7 @@
     def handle(self, envelope: Envelope, segment: Segment) -> None:
         """Handle an opening that a member offers."""
         key = segment.flow_key_from_caller()
-        record = self._flows.get(key)
+        record = self._flows.accepted(key)
         reason = self._refusal_reason(envelope, record)
         if reason is not None:
             self.pass_on(envelope, key, reason)
@@ -169,8 +169,16 @@
         return self._admission.serve()
 
     def record_target_ended(self) -> None:
-        """Forget the flows and the service times of a target that has ended."""
+        """Forget the flows of a target that has ended, and what was observed of it."""
         self._flows.clear()
+        self.record_target_replaced()
+
+    def record_target_replaced(self) -> None:
+        """Forget what was observed of a target that another one seems to replace.
+
+        The flows are kept: some may be the successor's, or the target may run on.
+        """
+        self._flows.doubt_all()
         self._times.clear()
         self._breaker.reset()
         self._health.clear()
--- a/src/cranberryhold/flows/target_state.py
+++ b/src/cranberryhold/flows/target_state.py
@@ -19,6 +19,8 @@
 # After an acknowledged heartbeat, the next one follows later than this share of the
 # interval; unacknowledged ones are repeated sooner.
 _UNHEARD_INTERVALS = 0.6
+# Intervals between two heartbeats that are sent, at most.
+_MAX_INTERVALS = 2.0
 # Shortest time after which an unacknowledged heartbeat is repeated; targets have been
 # seen to wait four times as long.
 _MIN_REPETITION_S = 0.02
@@ -183,6 +185,20 @@
         repetitions = heartbeat.sequence - FIRST_HEARTBEAT_SEQUENCE - 1
         return 0 <= age_s < pause_s + repetitions * _MIN_REPETITION_S
 
+    def is_certainly_younger(
+        self, heartbeat: Heartbeat, limit_s: float, unix_time_s: float
+    ) -> bool:
+        """Whether a target started less than ``limit_s`` ago.
+
+        Both its start time and the number of its heartbeats have to tell so: the clock
+        may have been set, and a late heartbeat has a low number.
+
+        :param unix_time_s: time of day of the instance, which the target shares.
+        """
+        longest_s = _MAX_INTERVALS * heartbeat.sequence * self._heartbeat_interval_s
+        age_s = unix_time_s - heartbeat.started_ms / 1000
+        return 0 <= age_s < limit_s and longest_s < limit_s
+
     def is_younger_than(self, limit_s: float, unix_time_s: float) -> bool:
         """Whether no target runs that has started longer ago.
 
