Believe a target of another service only if it goes on sending

Cause: a new sidecar took the first heartbeat that it heard for its target's, whatever service it named. Change: heartbeats of a service that neither the settings nor the present target name count only after three in order over an interval, as those of a target whose clock was set back. Ruled out: rejecting them for good, as an address may go to a target of another service while the sidecar runs.

--- a/src/cranberryhold/flows/sidecar_core.py
+++ b/src/cranberryhold/flows/sidecar_core.py
@@ -59,7 +59,7 @@
             self._status,
         )
         self._target = TargetState(
-            settings.heartbeat_interval_s, settings.address_reuse_s
+            settings.heartbeat_interval_s, settings.address_reuse_s, settings.service
         )
         self._cold_start = ColdStartGate(
             settings.cold_start,
@@ -158,8 +158,8 @@
 
     def apply_settings(self, settings: FlowSidecarSettings) -> None:
         """Apply changed settings, except the addresses of open sockets."""
-        self._target.update_timing(
-            settings.heartbeat_interval_s, settings.address_reuse_s
+        self._target.update_settings(
+            settings.heartbeat_interval_s, settings.address_reuse_s, settings.service
         )
         self._member.add_seeds(settings.member.seeds)
 
--- a/src/cranberryhold/flows/target_state.py
+++ b/src/cranberryhold/flows/target_state.py
@@ -96,11 +96,15 @@
     :param address_reuse_s: shortest time after which the address of a target that
         ended is assigned to another one. Without a heartbeat for longer, the program
         at the address may already be another target.
+    :param service: service that the settings name, empty if none. A target of another
+        one has to keep sending heartbeats until it is believed.
     """
 
-    def __init__(self, heartbeat_interval_s: float, address_reuse_s: float) -> None:
+    def __init__(
+        self, heartbeat_interval_s: float, address_reuse_s: float, service: str = ""
+    ) -> None:
         self._heartbeat_timeout_s = 0.0
-        self.update_timing(heartbeat_interval_s, address_reuse_s)
+        self.update_settings(heartbeat_interval_s, address_reuse_s, service)
         self._last_heartbeat: Heartbeat | None = None
         self._last_heartbeat_at = 0.0
         self._former: deque[tuple[int, str]] = deque(maxlen=MAX_FORMER_INCARNATIONS)
@@ -136,10 +140,11 @@
         """Number of requests that the target processes concurrently, at least 1."""
         return max(1, self._last_heartbeat.slots) if self._last_heartbeat else 1
 
-    def update_timing(
-        self, heartbeat_interval_s: float, address_reuse_s: float
+    def update_settings(
+        self, heartbeat_interval_s: float, address_reuse_s: float, service: str
     ) -> None:
         """Apply changed settings."""
+        self._configured_service = service
         self._heartbeat_interval_s = heartbeat_interval_s
         self._heartbeat_timeout_s = min(
             heartbeat_interval_s * _TIMEOUT_INTERVALS, address_reuse_s
@@ -244,6 +249,10 @@
             and not self._is_replaceable(now)
         ):
             return BeatOutcome.OUTDATED
+        if self._is_of_unexpected_service(heartbeat) and not self._is_persistent(
+            heartbeat, now
+        ):
+            return BeatOutcome.OUTDATED
         if (
             previous is not None
             and _precedes(heartbeat, previous)
@@ -271,6 +280,24 @@
             return BeatOutcome.DRAINS
         return BeatOutcome.REFRESHED
 
+    def _is_of_unexpected_service(self, heartbeat: Heartbeat) -> bool:
+        """Whether neither the settings nor the present target name the service.
+
+        Such a heartbeat is mostly a late one of a former target at the address.
+        """
+        newest = self._last_heartbeat
+        known = self._configured_service, newest.service if newest is not None else ""
+        return bool(self._configured_service) and heartbeat.service not in known
+
+    def _is_persistent(self, heartbeat: Heartbeat, now: float) -> bool:
+        """Whether its sender has kept sending heartbeats for a while.
+
+        Each call keeps the heartbeat, for the comparison with the next one.
+        """
+        claim = self._extend_claim(heartbeat, now)
+        spread_s = _KNOWN_CLAIM_INTERVALS * self._heartbeat_interval_s
+        return claim.count >= _KNOWN_CLAIM_HEARTBEATS and now - claim.since >= spread_s
+
     def _is_replaceable(self, now: float) -> bool:
         """Whether the target may have ended."""
         return self._ended or self._absent or self.is_overdue(now)
@@ -286,15 +313,16 @@
         """
         if not self._is_replaceable(now):
             return False
-        claim = self._extend_claim(heartbeat, now)
         incarnation = _incarnation(heartbeat)
         if incarnation != _incarnation(newest) and incarnation not in self._former:
+            claim = self._extend_claim(heartbeat, now)
             return claim.count >= _UNKNOWN_CLAIM_HEARTBEATS
-        spread_s = _KNOWN_CLAIM_INTERVALS * self._heartbeat_interval_s
-        return claim.count >= _KNOWN_CLAIM_HEARTBEATS and now - claim.since >= spread_s
+        return self._is_persistent(heartbeat, now)
 
     def _extend_claim(self, heartbeat: Heartbeat, now: float) -> _Claim:
         claim = self._claim
+        if claim is not None and claim.last == heartbeat:
+            return claim
         if (
             claim is not None
             and _incarnation(claim.last) == _incarnation(heartbeat)
--- a/tests/test_flow_state.py
+++ b/tests/test_flow_state.py
@@ -282,6 +282,36 @@
         assert not state.accepts_flows(2.0)
         assert state.service == CORE
 
+    def test_a_late_first_heartbeat_of_another_service_names_no_target(self):
+        # Guards against flows of one service that reach the target of another: a late
+        # heartbeat of a former target at the address is the first that a process hears.
+        state = TargetState(1.0, 2.0, service="core")
+        late = heartbeat(target_id="i-0", started_ms=9, sequence=30, service="other")
+        assert state.record_heartbeat(late, 0.0) is BeatOutcome.OUTDATED
+        assert state.service == UNKNOWN_SERVICE
+        assert not state.accepts_flows(0.0)
+        outcome = state.record_heartbeat(heartbeat(started_ms=10), 0.1)
+        assert outcome is BeatOutcome.NEW_INCARNATION
+        assert state.service == CORE
+        assert state.accepts_flows(0.1)
+
+    @pytest.mark.parametrize("is_heard", [False, True])
+    def test_a_target_of_another_service_is_believed_if_it_goes_on(self, is_heard):
+        # Guards against a target that is never used because the settings of the sidecar
+        # name the service of the one before.
+        state = TargetState(1.0, 2.0, service="core")
+        if is_heard:
+            state.record_heartbeat(heartbeat(started_ms=1), -9.0)
+        other = {"target_id": "i-2", "started_ms": 20, "service": "other"}
+        outcomes = [
+            state.record_heartbeat(heartbeat(sequence=number, **other), 0.8 * number)
+            for number in range(1, 5)
+        ]
+        assert outcomes[:2] == [BeatOutcome.OUTDATED] * 2
+        assert outcomes[2:] == [BeatOutcome.NEW_INCARNATION, BeatOutcome.REFRESHED]
+        assert state.service == OTHER
+        assert state.accepts_flows(3.2)
+
     def test_a_late_heartbeat_does_not_undo_draining(self):
         state = self.state()
         state.record_heartbeat(heartbeat(sequence=1), 0.0)
