Apply a changed life of flows in sidecars

If the life has become longer, the table counts as incomplete for the time that was added, as flows may have been removed that are open still.

--- a/src/cranberryhold/flows/entry_core.py
+++ b/src/cranberryhold/flows/entry_core.py
@@ -196,6 +196,7 @@
             stop_limit_s=settings.stop_limit_s,
             max_flow_s=settings.max_flow_s,
         )
+        self._routes.update_flow_lifetime(settings.max_flow_s)
         self._member.add_seeds(settings.seeds)
 
     def on_newer_version(self, fetch: Callable[[Address, int], None]) -> None:
--- a/src/cranberryhold/flows/flow_table.py
+++ b/src/cranberryhold/flows/flow_table.py
@@ -142,6 +142,11 @@
     def __len__(self) -> int:
         return len(self._flows)
 
+    @property
+    def max_age_s(self) -> float:
+        """Seconds without a packet after which a flow is removed."""
+        return self._max_age_s
+
     @property
     def unclosed(self) -> int:
         """Number of flows that the target has not closed."""
@@ -152,6 +157,10 @@
         """Number of requests that are assumed to occupy a slot of the target."""
         return self._running
 
+    def update_max_age(self, max_age_s: float) -> None:
+        """Apply a changed setting."""
+        self._max_age_s = max_age_s
+
     def report_requests(self, requests: RequestObserver, now: float) -> None:
         """Report the requests of the flows from now on, and those that run."""
         if self._requests is not None:
--- a/src/cranberryhold/flows/route_table.py
+++ b/src/cranberryhold/flows/route_table.py
@@ -116,6 +116,10 @@
         """Whether the configuration calls for admission control."""
         return self._configuration is not None and self._configuration.admission
 
+    def update_flow_lifetime(self, flow_lifetime_s: float) -> None:
+        """Apply a changed setting."""
+        self._flow_lifetime_s = flow_lifetime_s
+
     def confirm(self, as_of: float) -> None:
         """Record that the store had no newer configuration.
 
--- a/src/cranberryhold/flows/sidecar_core.py
+++ b/src/cranberryhold/flows/sidecar_core.py
@@ -5,6 +5,8 @@
 from contextlib import ExitStack, contextmanager
 from socket import inet_aton, inet_ntoa
 
+from msgspec import structs
+
 from cranberryhold.flows.cold_start.gate import ColdStartGate
 from cranberryhold.flows.early_forwarding import SocketHandler
 from cranberryhold.flows.evacuation.tracker import EvacuationTracker
@@ -161,6 +163,13 @@
         self._target.update_settings(
             settings.heartbeat_interval_s, settings.address_reuse_s, settings.service
         )
+        self._datapath.update_max_flow(settings.member.max_flow_s)
+        self._settings = structs.replace(
+            self._settings,
+            service=settings.service,
+            heartbeat_interval_s=settings.heartbeat_interval_s,
+            address_reuse_s=settings.address_reuse_s,
+        )
         self._member.add_seeds(settings.member.seeds)
 
     def announce(self) -> None:
--- a/src/cranberryhold/flows/sidecar_daemon.py
+++ b/src/cranberryhold/flows/sidecar_daemon.py
@@ -159,7 +159,9 @@
             if self._datapath.target_is_overdue():
                 self._target_dependency.record_failure("no heartbeat in time")
                 listens = await self._check_target()
-                if listens and self._datapath.presume_target(self._settings.service):
+                if listens and self._datapath.presume_target(
+                    self._core.settings.service
+                ):
                     self._core.announce()
             await asyncio.sleep(PRESENCE_INTERVAL_S)
 
--- a/src/cranberryhold/flows/sidecar_datapath.py
+++ b/src/cranberryhold/flows/sidecar_datapath.py
@@ -111,6 +111,7 @@
         self._ended_flows_expire_at = 0.0
         # Until then, the target may hold flows that are missing from the table.
         self._started_at = monotonic()
+        self._max_flow_s = max_flow_s
         self._incomplete_until = self._started_at + max_flow_s
         self._stopping = False
 
@@ -129,6 +130,18 @@
         """Openings that are offered to the target."""
         return self._openings
 
+    def update_max_flow(self, max_flow_s: float) -> None:
+        """Apply a changed setting.
+
+        If it has become longer, flows that were removed as idle may still be open.
+        """
+        now = self._monotonic()
+        added_s = max_flow_s - self._max_flow_s
+        if added_s > 0 and now - self._started_at >= self._max_flow_s:
+            self._incomplete_until = max(self._incomplete_until, now + added_s)
+        self._max_flow_s = max_flow_s
+        self._flows.update_max_age(max_flow_s)
+
     def stop_accepting(self) -> None:
         """Accept no new flows from now on."""
         self._stopping = True
--- a/tests/test_flow_identity.py
+++ b/tests/test_flow_identity.py
@@ -5,7 +5,12 @@
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from msgspec import structs
 
+from cranberryhold.addresses import Address
+from cranberryhold.flows.settings import FlowSidecarSettings, MemberSettings
+from cranberryhold.flows.sidecar_core import SidecarCore
+from cranberryhold.platform.packets import PacketCodec
 from tests.flow_simulation import (
     ACK,
     FIN,
@@ -15,6 +20,8 @@
     heartbeat,
     packet,
 )
+from tests.following import create_telemetry
+from tests.sockets import LOOPBACK_IP
 
 FIRST = inet_aton("10.0.1.1")
 SECOND = inet_aton("10.0.1.2")
@@ -212,3 +219,56 @@
         elif caller is not None:
             end = finish_flow if action == "finish" else abandon
             end(sim, is_open.pop(port))
+
+
+@pytest.mark.parametrize("opened", ["before", "after"])
+def test_a_longer_life_of_flows_is_in_effect_at_once(opened):
+    # Guards against resets of idle flows that are younger than the changed setting: the
+    # log reports it as applied, and the table keeps the one from the start.
+    sim = FlowSimulation(sidecars=2)
+    callers = callers_at(sim) if opened == "before" else []
+    sim.advance(MAX_FLOW_S + 2.0)
+    for sidecar in sim.sidecars.values():
+        sidecar.sweep()
+        sidecar.update_max_flow(1.5 * MAX_FLOW_S)
+    callers = callers or callers_at(sim)
+    sim.advance(1.1 * MAX_FLOW_S if opened == "after" else 1.0)
+    for sidecar in sim.sidecars.values():
+        sidecar.sweep()
+    sim.start_entry(NEW_ENTRY)
+    sim.share_statuses()
+    # Flows that were removed before the change are found by asking the targets.
+    answers = [
+        [caller.request(entry=NEW_ENTRY) for _ in range(3)] for caller in callers
+    ]
+    assert all("reset" not in tries and True in tries for tries in answers)
+
+
+def test_changed_settings_of_a_sidecar_reach_the_part_that_uses_them():
+    # Guards against a setting that the log reports as applied, and is not.
+    member = dict.fromkeys(
+        ("packet_address", "peer_address", "ready_address", "metrics_address", "store"),
+        Address(LOOPBACK_IP, 1),
+    )
+    settings = FlowSidecarSettings(
+        MemberSettings(
+            name="s", zone="a", seeds=(), stop_limit_s=6.0, max_flow_s=60.0, **member
+        ),
+        outbound_address=Address(LOOPBACK_IP, 1),
+        heartbeat_address=Address(LOOPBACK_IP, 1),
+        target_address=Address(LOOPBACK_IP, 1),
+        service="core",
+        heartbeat_interval_s=1.0,
+        address_reuse_s=2.0,
+    )
+    core = SidecarCore(settings, PacketCodec(), create_telemetry())
+    changed = structs.replace(
+        settings,
+        member=structs.replace(settings.member, max_flow_s=90.0),
+        service="other",
+        heartbeat_interval_s=0.5,
+    )
+    core.apply_settings(changed)
+    assert core.datapath.flows.max_age_s == 90.0
+    assert core.settings.service == "other"
+    assert core.settings.heartbeat_interval_s == 0.5
