Doubt the end of a target that was not draining

Cause: a deregistration names an id only. Change: the end is certain only of a target that was draining, as one is before it ends. Otherwise it gets no new flows, keeps its flows, and is checked by a connection after 0.1 s: if that is refused, the flows end. Two ready heartbeats, half an interval apart, take the end back.

--- a/src/cranberryhold/flows/sidecar_daemon.py
+++ b/src/cranberryhold/flows/sidecar_daemon.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 from collections.abc import Callable
+from contextlib import suppress
 from typing import Protocol
 
 from cranberryhold.exceptions import CranberryholdError
@@ -24,7 +25,7 @@
 )
 from cranberryhold.flows.sidecar_core import SidecarCore
 from cranberryhold.flows.target_presence import target_listens
-from cranberryhold.flows.target_state import BeatOutcome, Heartbeat
+from cranberryhold.flows.target_state import BeatOutcome, EndOutcome, Heartbeat
 
 # Longest wait for running requests before the process ends.
 DRAIN_LIMIT_S = 3.0
@@ -33,6 +34,8 @@
 MIN_DRAIN_S = 0.1
 # Interval between presence checks of a target whose heartbeats are overdue.
 PRESENCE_INTERVAL_S = 0.5
+# A target that has reported its end has closed its sockets after this time.
+END_CHECK_DELAY_S = 0.1
 
 
 class HeartbeatReader(Protocol):
@@ -81,6 +84,7 @@
             read_settings=read_settings,
             on_settings=on_settings,
         )
+        self._check_is_due = asyncio.Event()
         self._target_dependency = Dependency("target", self._telemetry, time.monotonic)
 
     async def run(self, socket_handlers: list[SocketHandler]) -> None:
@@ -138,7 +142,9 @@
         if report is None:
             return Response(404)
         if isinstance(report, str):
-            self._datapath.mark_target_ended(report)
+            if self._datapath.mark_target_ended(report) is EndOutcome.DOUBTFUL:
+                loop = asyncio.get_running_loop()
+                loop.call_later(END_CHECK_DELAY_S, self._check_is_due.set)
             self._core.announce()
         else:
             outcome = self._datapath.record_heartbeat(report)
@@ -163,7 +169,12 @@
                     self._core.settings.service
                 ):
                     self._core.announce()
-            await asyncio.sleep(PRESENCE_INTERVAL_S)
+            elif self._datapath.end_is_doubtful():
+                await self._check_target()
+            with suppress(TimeoutError):
+                async with asyncio.timeout(PRESENCE_INTERVAL_S):
+                    await self._check_is_due.wait()
+            self._check_is_due.clear()
 
     async def _detect_end_of_target(self) -> None:
         """Detect that the target has ended a moment ago, as its machine goes as well.
--- a/src/cranberryhold/flows/sidecar_datapath.py
+++ b/src/cranberryhold/flows/sidecar_datapath.py
@@ -21,6 +21,7 @@
 from cranberryhold.flows.target_state import (
     NO_TARGET,
     BeatOutcome,
+    EndOutcome,
     Heartbeat,
     TargetState,
 )
@@ -210,13 +211,19 @@
         """Whether packets are delivered to the target that sent a heartbeat."""
         return self._target.describes(heartbeat)
 
-    def mark_target_ended(self, target_id: str) -> bool:
-        """Record that the target reported its end; False if it is another target."""
-        ended = self._target.mark_ended(target_id)
-        if ended:
+    def mark_target_ended(self, target_id: str) -> EndOutcome:
+        """Record that a target reported its end."""
+        outcome = self._target.mark_ended(target_id)
+        if outcome is EndOutcome.ENDED:
             self._end_flows("target-ended")
-        self._telemetry.event("target-ended", target=target_id, current=ended)
-        return ended
+        elif outcome is EndOutcome.DOUBTFUL:
+            self._openings.serve_queue()
+        self._telemetry.event("target-ended", target=target_id, outcome=outcome.value)
+        return outcome
+
+    def end_is_doubtful(self) -> bool:
+        """Whether the end that was reported may be that of a former incarnation."""
+        return self._target.end_is_doubtful
 
     def target_is_overdue(self) -> bool:
         """Whether no heartbeat has arrived within the time-out."""
--- a/src/cranberryhold/flows/target_state.py
+++ b/src/cranberryhold/flows/target_state.py
@@ -39,6 +39,11 @@
 _KNOWN_CLAIM_INTERVALS = 1.0
 
 
+# Share of the interval between two heartbeats of a target that has not ended, as it
+# reported; those that a cut has delayed arrive together.
+_REVIVAL_INTERVALS = 0.5
+
+
 class TargetPhase(Enum):
     """Phase of its life cycle that a target reports."""
 
@@ -46,6 +51,16 @@
     DRAINING = "draining"
 
 
+class EndOutcome(Enum):
+    """Effect of a report that a target has ended."""
+
+    OTHER_TARGET = "other-target"
+    # The target was draining, as it does before it ends.
+    ENDED = "ended"
+    # A target that is ready does not end; a former incarnation may have sent it.
+    DOUBTFUL = "doubtful"
+
+
 class BeatOutcome(Enum):
     """Effect of a heartbeat on the state of the target."""
 
@@ -111,6 +126,9 @@
         self._claim: _Claim | None = None
         self._cold_until = 0.0
         self._ended = False
+        # A report of the target's end is doubted, and the first heartbeat after it.
+        self._end_is_doubtful = False
+        self._heard_since_end_at: float | None = None
         self._absent = False
         self._service_tag = UNKNOWN_SERVICE
         self._presumed_at: float | None = None
@@ -125,6 +143,11 @@
         """Whether the target has reported its end."""
         return self._ended
 
+    @property
+    def end_is_doubtful(self) -> bool:
+        """Whether the end that was reported may be that of a former incarnation."""
+        return self._end_is_doubtful
+
     @property
     def service(self) -> bytes:
         """Tag of the target's service, ``UNKNOWN_SERVICE`` or ``NO_TARGET``."""
@@ -163,6 +186,7 @@
         return (
             self._last_heartbeat is not None
             and not self._ended
+            and not self._end_is_doubtful
             and not self._absent
             and self._last_heartbeat.phase is TargetPhase.READY
             and self.seconds_since_heartbeat(now) <= self._heartbeat_timeout_s
@@ -270,8 +294,11 @@
         self._absent = False
         self._last_heartbeat_at = now
         self._cold_until = now + heartbeat.cold_for_s
-        if is_new:
-            self._ended = False
+        if not is_new:
+            self._doubt_end(heartbeat, now)
+        else:
+            self._ended = self._end_is_doubtful = False
+            self._heard_since_end_at = None
             if previous is not None:
                 self._former.append(_incarnation(previous))
             return BeatOutcome.NEW_INCARNATION
@@ -300,7 +327,8 @@
 
     def _is_replaceable(self, now: float) -> bool:
         """Whether the target may have ended."""
-        return self._ended or self._absent or self.is_overdue(now)
+        has_reported_end = self._ended or self._end_is_doubtful
+        return has_reported_end or self._absent or self.is_overdue(now)
 
     def _is_successor(
         self, heartbeat: Heartbeat, newest: Heartbeat, now: float
@@ -362,12 +390,31 @@
         self._service_tag = service_tag(service)
         return True
 
-    def mark_ended(self, target_id: str) -> bool:
-        """Record that the target reported its end; False if it is not this target."""
-        if self._last_heartbeat is None or self._last_heartbeat.target_id != target_id:
-            return False
-        self._ended = True
-        return True
+    def mark_ended(self, target_id: str) -> EndOutcome:
+        """Record that a target reported its end.
+
+        The report names no incarnation, and may be a late one of a target that has
+        started again under its id.
+        """
+        newest = self._last_heartbeat
+        if newest is None or newest.target_id != target_id:
+            return EndOutcome.OTHER_TARGET
+        if newest.phase is TargetPhase.DRAINING:
+            self._ended = True
+            return EndOutcome.ENDED
+        self._end_is_doubtful = True
+        self._heard_since_end_at = None
+        return EndOutcome.DOUBTFUL
+
+    def _doubt_end(self, heartbeat: Heartbeat, now: float) -> None:
+        """Take a reported end back if the target goes on sending heartbeats."""
+        if not self._end_is_doubtful or heartbeat.phase is not TargetPhase.READY:
+            return
+        if self._heard_since_end_at is None:
+            self._heard_since_end_at = now
+        spread_s = _REVIVAL_INTERVALS * self._heartbeat_interval_s
+        if now - self._heard_since_end_at >= spread_s:
+            self._end_is_doubtful = False
 
 
 def _incarnation(heartbeat: Heartbeat) -> tuple[int, str]:
--- a/tests/test_flow_daemons.py
+++ b/tests/test_flow_daemons.py
@@ -77,6 +77,21 @@
         assert status == 200
 
 
+async def test_a_target_that_reports_its_end_without_draining_is_missed_at_once():
+    # Guards against callers that wait for the time-out of heartbeats because the report
+    # of an end is doubted.
+    async with running_site() as site:
+        entry = await site.start_entry(1)
+        sidecar = await site.start_sidecar(2)
+        await until(lambda: entry.member.peers.sidecars and entry.is_ready())
+        site.send(1, SYN, 40001)
+        assert (await site.receive()).syn
+        await site.crash_target(2)
+        await site.call(2, site.heartbeat_port, "POST", "/instances/i-2/deregister")
+        async with asyncio.timeout(1.0):
+            await until(lambda: not len(sidecar.datapath.flows))
+
+
 async def test_malformed_requests_are_rejected_and_counted():
     async with running_site() as site:
         sidecar = await site.start_sidecar(2)
--- a/tests/test_flow_identity.py
+++ b/tests/test_flow_identity.py
@@ -115,6 +115,22 @@
     assert requests_of(callers, entry=NEW_ENTRY) == [True] * len(callers)
 
 
+def test_a_late_report_of_an_end_resets_no_flow_of_a_living_target():
+    # Guards against resets of all open flows at a target that has started again under
+    # the id that it had, when the report of its former end arrives late.
+    sim = FlowSimulation(sidecars=2)
+    callers = callers_at(sim)
+    sim.sidecars[FIRST].mark_target_ended("i-1")
+    sim.share_statuses()
+    assert requests_of(callers) == [True] * len(callers)
+    sim.start_entry(NEW_ENTRY)
+    sim.share_statuses()
+    assert requests_of(callers, entry=NEW_ENTRY) == [True] * len(callers)
+    sim.advance(1.0)
+    sim.advance(1.0)
+    assert sim.sidecars[FIRST].accepts_flows()
+
+
 def finish_flow(sim, caller):
     """Let the target close a flow, and the caller close it after that."""
     ip = sim.holder(caller)
