--- a/src/cranberryhold/platform/heartbeats.py
+++ b/src/cranberryhold/platform/heartbeats.py
@@ -24,6 +24,9 @@
 class _HeartbeatBody(msgspec.Struct, rename="camel"):
     service: str
     address: str
+    # Not used; a heartbeat without them is not one of a target.
+    zone: str
+    version: str
     state: TargetPhase
     # Requests that the target processes concurrently.
     concurrency: Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
--- a/tests/flow_site.py
+++ b/tests/flow_site.py
@@ -248,6 +248,8 @@
         body = {
             "service": "core",
             "address": str(target.address),
+            "zone": "a",
+            "version": "v1",
             "state": state,
             "concurrency": 3,
             "coldRemainingMs": 0,
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -40,6 +40,8 @@
     body = {
         "service": "core",
         "address": str(site.targets[0].address),
+        "zone": "a",
+        "version": "v1",
         "state": "ready",
         "concurrency": 3,
         "coldRemainingMs": 0,
@@ -68,6 +70,8 @@
             {"born": -1},
             {"state": "asleep"},
             {"service": None},
+            {"zone": None},
+            {"version": 1},
         ],
     )
     async def test_an_odd_heartbeat_is_rejected_and_the_target_is_used(self, changes):
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -168,6 +168,8 @@
             {"seq": "4"},
             {"born": 1.5},
             {"service": None},
+            {"zone": None},
+            {"version": 1},
             {"address": "10.128.0.8:8080"},
             {"concurrency": "x"},
         ],
--- a/tools/soak/other_writers.py
+++ b/tools/soak/other_writers.py
@@ -34,6 +34,8 @@
     heartbeat = {
         "service": machine.service,
         "address": f"{machine.ip}:{site.ports.target}",
+        "zone": "",
+        "version": "v1",
         "state": "ready",
         "concurrency": 3,
         "coldRemainingMs": 0,
@@ -46,6 +48,8 @@
             {"seq": 10**40},
             {"born": 10**400},
             {"state": "asleep"},
+            {"zone": None},
+            {"version": 1},
             {"service": "nowhere", "born": 2**41},
             {"address": "10.0.0.1:99999"},
         ]
