Refuse late heartbeats of a replaced target whose clock was ahead

Cause: a heartbeat of a target that the sidecar had seen replaced was taken at once if its start was later, as it is if the clock was set back between the two. Change: a replaced incarnation has to go on sending to be believed, whatever its start time. Result: the new test failed before.

--- a/src/cranberryhold/flows/target_state.py
+++ b/src/cranberryhold/flows/target_state.py
@@ -279,7 +279,10 @@
             return BeatOutcome.OUTDATED
         if (
             previous is not None
-            and _precedes(heartbeat, previous)
+            and (
+                _precedes(heartbeat, previous)
+                or _incarnation(heartbeat) in self._former
+            )
             and not self._is_successor(heartbeat, previous, now)
         ):
             return BeatOutcome.OUTDATED
@@ -299,6 +302,8 @@
         else:
             self._ended = self._end_is_doubtful = False
             self._heard_since_end_at = None
+            if _incarnation(heartbeat) in self._former:
+                self._former.remove(_incarnation(heartbeat))
             if previous is not None:
                 self._former.append(_incarnation(previous))
             return BeatOutcome.NEW_INCARNATION
--- a/tests/test_flow_state.py
+++ b/tests/test_flow_state.py
@@ -323,6 +323,23 @@
         )
         assert not state.accepts_flows(0.2)
 
+    def test_a_late_heartbeat_of_a_replaced_target_whose_clock_was_ahead_is_ignored(
+        self,
+    ):
+        # Guards against a living target whose heartbeats are refused for seconds, as a
+        # late one of the target before it, from before the clock was set back, has a
+        # later start.
+        state = self.state()
+        ahead = {"target_id": "i-0", "started_ms": 5000}
+        state.record_heartbeat(heartbeat(**ahead), 0.0)
+        for number in range(1, 5):
+            behind = heartbeat(started_ms=2000, sequence=number)
+            state.record_heartbeat(behind, 2.0 + number)
+        assert state.last_heartbeat.target_id == "i-1"
+        late = heartbeat(sequence=9, **ahead)
+        assert state.record_heartbeat(late, 6.5) is BeatOutcome.OUTDATED
+        assert state.accepts_flows(6.5)
+
     def test_a_late_heartbeat_of_an_earlier_incarnation_is_ignored(self):
         state = self.state()
         state.record_heartbeat(heartbeat(started_ms=10, service="core"), 0.0)
