Quote keys in the queries of the store

Cause: the last key of a page went into the next query as it is. Change: values of a query are percent-encoded.

--- a/src/cranberryhold/platform/store.py
+++ b/src/cranberryhold/platform/store.py
@@ -3,6 +3,7 @@
 from base64 import b64encode
 from collections.abc import Callable
 from typing import Any
+from urllib.parse import quote
 
 import msgspec
 
@@ -212,8 +213,8 @@
         body: object = None,
         timeout_s: float = CALL_TIMEOUT_S,
     ) -> HttpResponse:
-        # Keys and numbers need no escaping: keys are paths of plain names.
-        pairs = [f"{name}={value}" for name, value in (query or {}).items()]
+        # The keys of other writers may hold any characters.
+        pairs = [f"{k}={quote(str(v), safe='/')}" for k, v in (query or {}).items()]
         target = f"{path}?{'&'.join(pairs)}" if pairs else path
         content = msgspec.json.encode(body) if body is not None else b""
         try:
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -1,5 +1,6 @@
 """Entries and heartbeats of other writers: each is left out, the others hold."""
 
+import asyncio
 import json
 from random import Random
 from socket import inet_aton
@@ -25,8 +26,10 @@
     encode,
 )
 from cranberryhold.platform.operator_configuration import OperatorConfiguration
+from emulator.metadata_store import PAGE_ITEMS
 from tests.flow_simulation import LogLines
 from tests.flow_site import running_site
+from tests.following import running_store
 from tests.waiting import until
 
 NESTED_JSON = b'{"x":' + b"[" * 30_000 + b"]" * 30_000
@@ -157,6 +160,21 @@
         assert telemetry.counts["member_entries_malformed"] == 1
 
 
+@pytest.mark.parametrize("name", ["नाम", "a&b", "a+b", "a#b", "a b", "a%41", "a=b"])
+async def test_a_page_that_ends_with_an_odd_key_is_followed_by_the_next(name):
+    # Guards against daemons that end, or read the same page again and again, because
+    # of the key of an entry of another writer.
+    async with running_store() as (stand_in, store):
+        keys = [f"p/{number:03}" for number in range(PAGE_ITEMS - 1)]
+        for key in (*keys, f"p/5{name}", "p/last"):
+            await stand_in.put(key, b"")
+        async with asyncio.timeout(5.0):
+            listed = await store.list_items("p/", may_be_stale=False)
+        assert sorted(item.key for item in listed.items) == sorted(
+            (*keys, f"p/5{name}", "p/last")
+        )
+
+
 def configuration(**changes) -> bytes:
     route = {"name": "r", "host": "198.18.0.1", "prefix": "/443/", "service": "core"}
     return json.dumps({"version": 1, "routes": [{**route, **changes}]}).encode()
