--- a/src/cranberryhold/flows/cold_start/gate.py
+++ b/src/cranberryhold/flows/cold_start/gate.py
@@ -8,9 +8,10 @@
 from cranberryhold.flows.cold_start.limiter import COLD_WINDOW_S, ColdStartLimiter
 from cranberryhold.flows.cold_start.restart_evidence import RestartEvidence
 from cranberryhold.flows.flow_table import FlowRecord
+from cranberryhold.flows.heartbeat import Heartbeat
 from cranberryhold.flows.segments import Segment
 from cranberryhold.flows.settings import ColdStartAllowance
-from cranberryhold.flows.target_state import BeatOutcome, Heartbeat, TargetState
+from cranberryhold.flows.target_state import BeatOutcome, TargetState
 from cranberryhold.flows.telemetry import Telemetry
 
 # A caller abandons an attempt 1.4 s after its first SYN, so that no copy is later; the
--- a/src/cranberryhold/flows/sidecar_daemon.py
+++ b/src/cranberryhold/flows/sidecar_daemon.py
@@ -9,6 +9,7 @@
 from cranberryhold.exceptions import CranberryholdError
 from cranberryhold.flows.dependency import Dependency
 from cranberryhold.flows.early_forwarding import SocketHandler
+from cranberryhold.flows.heartbeat import Heartbeat
 from cranberryhold.flows.http_server import Request, Response, serving_http
 from cranberryhold.flows.leased_store import LeasedStore
 from cranberryhold.flows.member_daemon import (
@@ -25,7 +26,7 @@
 )
 from cranberryhold.flows.sidecar_core import SidecarCore
 from cranberryhold.flows.target_presence import target_listens
-from cranberryhold.flows.target_state import BeatOutcome, EndOutcome, Heartbeat
+from cranberryhold.flows.target_state import BeatOutcome, EndOutcome
 
 # Longest wait for running requests before the process ends.
 DRAIN_LIMIT_S = 3.0
--- a/src/cranberryhold/flows/sidecar_datapath.py
+++ b/src/cranberryhold/flows/sidecar_datapath.py
@@ -9,6 +9,7 @@
 from cranberryhold.flows.envelope import Envelope, Purpose, decode_envelope
 from cranberryhold.flows.evacuation.state import EvacuationState
 from cranberryhold.flows.flow_table import FlowRecord, FlowTable
+from cranberryhold.flows.heartbeat import Heartbeat
 from cranberryhold.flows.peer_messages import (
     FlowHeld,
     FlowNotFound,
@@ -22,7 +23,6 @@
     NO_TARGET,
     BeatOutcome,
     EndOutcome,
-    Heartbeat,
     TargetState,
 )
 from cranberryhold.flows.telemetry import Telemetry
--- a/src/cranberryhold/flows/target_state.py
+++ b/src/cranberryhold/flows/target_state.py
@@ -4,9 +4,13 @@
 from enum import Enum
 from math import inf
 
-from msgspec import Struct
-
 from cranberryhold.flows.envelope import service_tag
+from cranberryhold.flows.heartbeat import (
+    FIRST_HEARTBEAT_SEQUENCE,
+    Heartbeat,
+    TargetPhase,
+)
+from cranberryhold.flows.target_claims import TargetClaim
 
 UNKNOWN_SERVICE = b"\0\0\0\0"
 """Tag of a sidecar that does not know yet whether it has a target."""
@@ -25,32 +29,13 @@
 # seen to wait four times as long.
 _MIN_REPETITION_S = 0.02
 
-
-# Heartbeats of an incarnation are numbered from 1.
-FIRST_HEARTBEAT_SEQUENCE = 1
 # Incarnations whose late heartbeats are recognized.
 MAX_FORMER_INCARNATIONS = 16
-# Heartbeats in order after which a target that was not heard before replaces a silent
-# one. One may be a late one of an incarnation that a former process knew.
-_UNKNOWN_CLAIM_HEARTBEATS = 2
-# The same for a target that was replaced already, or whose numbers went back; its late
-# heartbeats may arrive together.
-_KNOWN_CLAIM_HEARTBEATS = 3
-_KNOWN_CLAIM_INTERVALS = 1.0
-
-
 # Share of the interval between two heartbeats of a target that has not ended, as it
 # reported; those that a cut has delayed arrive together.
 _REVIVAL_INTERVALS = 0.5
 
 
-class TargetPhase(Enum):
-    """Phase of its life cycle that a target reports."""
-
-    READY = "ready"
-    DRAINING = "draining"
-
-
 class EndOutcome(Enum):
     """Effect of a report that a target has ended."""
 
@@ -70,40 +55,6 @@
     OUTDATED = "outdated"
 
 
-class Heartbeat(Struct, frozen=True):
-    """State that a target reports of itself.
-
-    :param target_id: id of the target; a restarted target may keep it.
-    :param started_ms: Unix time of the target's start in milliseconds, 0 if unknown.
-    :param sequence: increases with each heartbeat of one incarnation.
-    :param service: name of the service.
-    :param phase: ready or draining.
-    :param slots: number of requests that it processes concurrently.
-    :param cold_for_s: remaining seconds of its slow start.
-    """
-
-    target_id: str
-    started_ms: int
-    sequence: int
-    service: str
-    phase: TargetPhase
-    slots: int
-    cold_for_s: float
-
-
-class _Claim(Struct):
-    """Heartbeats in order that precede the newest one.
-
-    :param last: the last of them.
-    :param count: their number.
-    :param since: time of the first one in seconds.
-    """
-
-    last: Heartbeat
-    count: int
-    since: float
-
-
 class TargetState:
     """Last known state of a sidecar's target.
 
@@ -123,7 +74,7 @@
         self._last_heartbeat: Heartbeat | None = None
         self._last_heartbeat_at = 0.0
         self._former: deque[tuple[int, str]] = deque(maxlen=MAX_FORMER_INCARNATIONS)
-        self._claim: _Claim | None = None
+        self._claim = TargetClaim()
         self._cold_until = 0.0
         self._ended = False
         # A report of the target's end is doubted, and the first heartbeat after it.
@@ -251,7 +202,7 @@
         newest = self._last_heartbeat
         return (
             newest is not None
-            and _incarnation(heartbeat) == _incarnation(newest)
+            and heartbeat.incarnation == newest.incarnation
             and heartbeat.service == newest.service
         )
 
@@ -273,26 +224,24 @@
             and not self._is_replaceable(now)
         ):
             return BeatOutcome.OUTDATED
-        if self._is_of_unexpected_service(heartbeat) and not self._is_persistent(
-            heartbeat, now
+        interval_s = self._heartbeat_interval_s
+        if self._is_of_unexpected_service(heartbeat) and not self._claim.is_persistent(
+            heartbeat, now, interval_s
         ):
             return BeatOutcome.OUTDATED
         if (
             previous is not None
-            and (
-                _precedes(heartbeat, previous)
-                or _incarnation(heartbeat) in self._former
-            )
+            and (heartbeat.precedes(previous) or heartbeat.incarnation in self._former)
             and not self._is_successor(heartbeat, previous, now)
         ):
             return BeatOutcome.OUTDATED
-        is_new = previous is None or _incarnation(heartbeat) != _incarnation(previous)
+        is_new = previous is None or heartbeat.incarnation != previous.incarnation
         if not is_new and self._ended:
             return BeatOutcome.OUTDATED
         if previous is None or previous.service != heartbeat.service:
             self._service_tag = service_tag(heartbeat.service)
         self._last_heartbeat = heartbeat
-        self._claim = None
+        self._claim.clear()
         self._presumed_at = None
         self._absent = False
         self._last_heartbeat_at = now
@@ -302,10 +251,10 @@
         else:
             self._ended = self._end_is_doubtful = False
             self._heard_since_end_at = None
-            if _incarnation(heartbeat) in self._former:
-                self._former.remove(_incarnation(heartbeat))
+            if heartbeat.incarnation in self._former:
+                self._former.remove(heartbeat.incarnation)
             if previous is not None:
-                self._former.append(_incarnation(previous))
+                self._former.append(previous.incarnation)
             return BeatOutcome.NEW_INCARNATION
         drains = heartbeat.phase is TargetPhase.DRAINING
         if drains and previous is not None and previous.phase is TargetPhase.READY:
@@ -321,15 +270,6 @@
         known = self._configured_service, newest.service if newest is not None else ""
         return bool(self._configured_service) and heartbeat.service not in known
 
-    def _is_persistent(self, heartbeat: Heartbeat, now: float) -> bool:
-        """Whether its sender has kept sending heartbeats for a while.
-
-        Each call keeps the heartbeat, for the comparison with the next one.
-        """
-        claim = self._extend_claim(heartbeat, now)
-        spread_s = _KNOWN_CLAIM_INTERVALS * self._heartbeat_interval_s
-        return claim.count >= _KNOWN_CLAIM_HEARTBEATS and now - claim.since >= spread_s
-
     def _is_replaceable(self, now: float) -> bool:
         """Whether the target may have ended."""
         has_reported_end = self._ended or self._end_is_doubtful
@@ -346,25 +286,10 @@
         """
         if not self._is_replaceable(now):
             return False
-        incarnation = _incarnation(heartbeat)
-        if incarnation != _incarnation(newest) and incarnation not in self._former:
-            claim = self._extend_claim(heartbeat, now)
-            return claim.count >= _UNKNOWN_CLAIM_HEARTBEATS
-        return self._is_persistent(heartbeat, now)
-
-    def _extend_claim(self, heartbeat: Heartbeat, now: float) -> _Claim:
-        claim = self._claim
-        if claim is not None and claim.last == heartbeat:
-            return claim
-        if (
-            claim is not None
-            and _incarnation(claim.last) == _incarnation(heartbeat)
-            and claim.last.sequence < heartbeat.sequence
-        ):
-            self._claim = _Claim(heartbeat, claim.count + 1, claim.since)
-        else:
-            self._claim = _Claim(heartbeat, 1, now)
-        return self._claim
+        incarnation = heartbeat.incarnation
+        if incarnation != newest.incarnation and incarnation not in self._former:
+            return self._claim.is_repeated(heartbeat, now)
+        return self._claim.is_persistent(heartbeat, now, self._heartbeat_interval_s)
 
     def mark_absent(self) -> bool:
         """Record that no program listens at the target's address.
@@ -420,13 +345,3 @@
         spread_s = _REVIVAL_INTERVALS * self._heartbeat_interval_s
         if now - self._heard_since_end_at >= spread_s:
             self._end_is_doubtful = False
-
-
-def _incarnation(heartbeat: Heartbeat) -> tuple[int, str]:
-    return heartbeat.started_ms, heartbeat.target_id
-
-
-def _precedes(heartbeat: Heartbeat, newest: Heartbeat) -> bool:
-    if _incarnation(heartbeat) == _incarnation(newest):
-        return heartbeat.sequence <= newest.sequence
-    return heartbeat.started_ms < newest.started_ms
--- a/src/cranberryhold/platform/heartbeats.py
+++ b/src/cranberryhold/platform/heartbeats.py
@@ -7,8 +7,8 @@
 import msgspec
 
 from cranberryhold.exceptions import DECODE_ERRORS, PeerError
+from cranberryhold.flows.heartbeat import Heartbeat, TargetPhase
 from cranberryhold.flows.http_server import Request
-from cranberryhold.flows.target_state import Heartbeat, TargetPhase
 
 _INSTANCES_PREFIX = "/instances/"
 _HEARTBEAT_SUFFIX = "/heartbeat"
--- a/tests/flow_simulation.py
+++ b/tests/flow_simulation.py
@@ -11,6 +11,7 @@
 from cranberryhold.flows.cold_start.gate import ColdStartGate
 from cranberryhold.flows.entry_datapath import EntryDatapath
 from cranberryhold.flows.evacuation.state import Evacuations, EvacuationState
+from cranberryhold.flows.heartbeat import Heartbeat, TargetPhase
 from cranberryhold.flows.leased_store import StorePosition
 from cranberryhold.flows.link_load import LinkLoad
 from cranberryhold.flows.peer_messages import (
@@ -30,7 +31,7 @@
 )
 from cranberryhold.flows.segments import Endpoint
 from cranberryhold.flows.sidecar_datapath import SidecarDatapath
-from cranberryhold.flows.target_state import Heartbeat, TargetPhase, TargetState
+from cranberryhold.flows.target_state import TargetState
 from cranberryhold.flows.telemetry import Telemetry
 from cranberryhold.platform.packets import (
     ACK,
--- a/tests/test_flow_paths.py
+++ b/tests/test_flow_paths.py
@@ -11,7 +11,7 @@
 from hypothesis import strategies as st
 
 from cranberryhold.flows.envelope import service_tag
-from cranberryhold.flows.target_state import TargetPhase
+from cranberryhold.flows.heartbeat import TargetPhase
 from tests.flow_simulation import (
     ACK,
     CONFIRMATION_S,
--- a/tests/test_flow_state.py
+++ b/tests/test_flow_state.py
@@ -19,6 +19,7 @@
 )
 from cranberryhold.flows.flow_cache import FlowCache
 from cranberryhold.flows.flow_table import FlowTable
+from cranberryhold.flows.heartbeat import TargetPhase
 from cranberryhold.flows.peer_messages import (
     FlowHeld,
     decode_message,
@@ -32,7 +33,6 @@
     UNKNOWN_SERVICE,
     BeatOutcome,
     EndOutcome,
-    TargetPhase,
     TargetState,
 )
 from cranberryhold.platform.packets import PacketCodec
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -13,10 +13,10 @@
 from msgspec.structs import replace
 
 from cranberryhold.flows.admission.decision import AdmissionPolicy
+from cranberryhold.flows.heartbeat import TargetPhase
 from cranberryhold.flows.route_table import Configuration, Route, WeightedService
 from cranberryhold.flows.segments import Endpoint
 from cranberryhold.flows.settings import ColdStartAllowance
-from cranberryhold.flows.target_state import TargetPhase
 from cranberryhold.platform.packets import ACK, SYN
 from emulator.flow_packets import flow_packet
 from tests.flow_simulation import SERVICE, SERVICE_IP, FlowSimulation, heartbeat
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -10,8 +10,8 @@
 
 from cranberryhold.addresses import Address
 from cranberryhold.exceptions import CranberryholdError, PeerError, SettingsError
+from cranberryhold.flows.heartbeat import Heartbeat, TargetPhase
 from cranberryhold.flows.http_server import Request
-from cranberryhold.flows.target_state import Heartbeat, TargetPhase
 from cranberryhold.platform.heartbeats import PlatformHeartbeatReader
 from cranberryhold.platform.operator_configuration import OperatorConfiguration
 from cranberryhold.platform.packets import PacketCodec
