Keep later flows and incomplete tables where the first answer was wrong

Cause: found by reading again. A refused first heartbeat with the number of a first one completed the table of a new sidecar, so that open flows were reset. A packet that the target returned late removed the record of a later flow of the same ports, with the same end. And a packet that came back for a flow which its target had closed was answered with a reset, which no caller needs. Change: only a heartbeat that is believed completes the table; a returned packet whose acknowledgment does not fit the record is dropped; a reset answers a packet of an open flow only. Result: two new tests failed before, and pass now.

--- a/src/cranberryhold/flows/flow_table.py
+++ b/src/cranberryhold/flows/flow_table.py
@@ -105,10 +105,11 @@
             return self.closed_at is None
         return self.caller_sequence == segment.sequence
 
-    def was_accepted_here(self, segment: Segment) -> bool:
-        """Whether a caller's packet certainly is of the flow that was accepted here."""
+    def is_open_flow_of(self, segment: Segment) -> bool:
+        """Whether a caller's packet certainly is of this flow, which is not closed."""
         return (
-            self.initial_sequence is not None
+            self.closed_at is None
+            and self.initial_sequence is not None
             and segment.ack
             and self.accepts_acknowledgment(segment)
         )
--- a/src/cranberryhold/flows/sidecar_datapath.py
+++ b/src/cranberryhold/flows/sidecar_datapath.py
@@ -201,7 +201,10 @@
         may be of another writer.
         """
         if is_first:
-            return self._target.was_unheard(heartbeat, self._unix_time())
+            is_believed = outcome is BeatOutcome.NEW_INCARNATION
+            return is_believed and self._target.was_unheard(
+                heartbeat, self._unix_time()
+            )
         uptime_s = self._monotonic() - self._started_at
         return outcome is BeatOutcome.REFRESHED and self._target.is_certainly_younger(
             heartbeat, uptime_s, self._unix_time()
@@ -397,6 +400,10 @@
             self._openings.handle_returned(envelope, key)
             return
         record = self._flows.get(key)
+        if record is not None and not record.accepts_acknowledgment(segment):
+            # Meanwhile, the target has accepted another flow of the same ports.
+            self._discard(key, "returned-late")
+            return
         accepted = self._flows.accepted(key)
         self._cold_start.record_lost_flow(accepted)
         self._openings.record_lost_flow(accepted)
@@ -405,7 +412,7 @@
             self._continue_search(envelope, segment, key)
             return
         self._output.send_to_peer(envelope.origin, FlowNotHeld(key))
-        if record is not None and record.was_accepted_here(segment):
+        if record is not None and record.is_open_flow_of(segment):
             self._send_reset(key, segment, "not-held-any-more")
         else:
             self._discard(key, "returned")
@@ -436,7 +443,7 @@
     def _has_ended(self, key: bytes, segment: Segment) -> bool:
         """Whether a packet is of a flow that has ended with its target."""
         record = self._ended_flows.get(key)
-        return record is not None and record.was_accepted_here(segment)
+        return record is not None and record.is_open_flow_of(segment)
 
     def _end_flows(self, reason: str) -> None:
         ended = self._flows.established_flows()
--- a/tests/test_flow_identity.py
+++ b/tests/test_flow_identity.py
@@ -10,11 +10,14 @@
 from cranberryhold.addresses import Address
 from cranberryhold.flows.settings import FlowSidecarSettings, MemberSettings
 from cranberryhold.flows.sidecar_core import SidecarCore
+from cranberryhold.flows.target_state import BeatOutcome
 from cranberryhold.platform.packets import PacketCodec
 from tests.flow_simulation import (
     ACK,
     FIN,
     MAX_FLOW_S,
+    OTHER_SERVICE,
+    SERVICE,
     Caller,
     FlowSimulation,
     heartbeat,
@@ -115,6 +118,48 @@
     assert requests_of(callers, entry=NEW_ENTRY) == [True] * len(callers)
 
 
+def test_a_refused_first_heartbeat_does_not_complete_the_table_of_a_new_sidecar():
+    # Guards against resets after a planned restart of a sidecar: the first heartbeat
+    # that it hears names another service, and its number is that of a first one.
+    sim = FlowSimulation(sidecars=1)
+    callers = callers_at(sim)
+    sim.start_sidecar(FIRST)
+    sim.states[FIRST].update_settings(1.0, 2.0, SERVICE)
+    odd = heartbeat(target_id="i-9", service=OTHER_SERVICE)
+    assert sim.sidecars[FIRST].record_heartbeat(odd) is BeatOutcome.OUTDATED
+    sim.sidecars[FIRST].record_heartbeat(heartbeat(sequence=50))
+    sim.start_entry(NEW_ENTRY)
+    sim.share_statuses()
+    assert requests_of(callers, entry=NEW_ENTRY) == [True] * len(callers)
+
+
+def test_a_packet_of_a_former_flow_that_is_returned_late_removes_no_later_flow():
+    # Guards against a reset of an open flow whose record went with a packet of the
+    # flow that its caller had on the same ports before.
+    sim = FlowSimulation(sidecars=1)
+    (former,) = callers_at(sim, 1)
+    abandon(sim, former)
+    sim.start_sidecar(FIRST)
+    sim.sidecars[FIRST].record_heartbeat(heartbeat(sequence=50))
+    sim.share_statuses()
+    target = sim.targets[FIRST]
+    return_packet, returned = target.return_packet, []
+    target.return_packet = returned.append
+    assert former.request() is False
+    target.return_packet = return_packet
+    caller = Caller(sim, port=former.port)
+    caller.sequence = sim.random.getrandbits(31)
+    assert caller.open()
+    for data in returned:
+        return_packet(data)
+    sim.deliver_all()
+    sim.clock.now += MAX_FLOW_S
+    sim.sidecars[FIRST].record_heartbeat(heartbeat(sequence=51))
+    sim.start_entry(NEW_ENTRY)
+    sim.share_statuses()
+    assert True in [caller.request(entry=NEW_ENTRY) for _ in range(2)]
+
+
 def test_a_late_report_of_an_end_resets_no_flow_of_a_living_target():
     # Guards against resets of all open flows at a target that has started again under
     # the id that it had, when the report of its former end arrives late.
