--- a/review/bed3/bed.py
+++ b/review/bed3/bed.py
@@ -18,6 +18,7 @@
 from ipaddress import IPv4Address
 from pathlib import Path
 from random import Random
+from typing import NamedTuple
 
 from cranberryhold.addresses import Address
 from cranberryhold.flows.segments import Endpoint, Segment
@@ -64,6 +65,20 @@
 _BLOCK_SIZE, _BLOCK_COUNT = 256, 2048
 
 
+class Route(NamedTuple):
+    """A route of the configuration."""
+
+    name: str
+    port: int
+    type: str
+    timeout_ms: int
+    aim_ms: int
+    priority: int
+
+
+PRICE_BOARD = Route("r-1", ROUTE_PORT, "safe", 2500, 325, 2)
+
+
 class Record:
     """The lines of ``record.txt``.
 
@@ -218,9 +233,9 @@
         await asyncio.sleep(RESTART_DELAY_S)
         await self.start_daemon(machine)
 
-    def new_flow(self) -> Caller:
+    def new_flow(self, port: int = ROUTE_PORT) -> Caller:
         """Return a flow from a new port, not opened yet."""
-        return new_flow(self.host, ROUTE)
+        return new_flow(self.host, service_endpoint(ROUTE_IP, port))
 
     def freeze(self, machine: Machine, target: Target) -> None:
         """Freeze a machine with its daemon and its target."""
@@ -265,22 +280,25 @@
             random=self.random,
         )
 
-    async def write_configuration(self, version: int, idle_timeout_ms: int) -> None:
-        """Write a configuration with one route, as the operator does."""
+    async def write_configuration(
+        self, version: int, idle_timeout_ms: int, routes: tuple[Route, ...]
+    ) -> None:
+        """Write a configuration, as the operator does."""
         document = {
             "version": version,
             "routes": [
                 {
-                    "name": "r-1",
+                    "name": route.name,
                     "host": ROUTE_IP,
-                    "prefix": f"/{ROUTE_PORT}/",
-                    "type": "safe",
-                    "timeoutMs": 2500,
-                    "sloLatencyMs": 325,
-                    "priority": 2,
+                    "prefix": f"/{route.port}/",
+                    "type": route.type,
+                    "timeoutMs": route.timeout_ms,
+                    "sloLatencyMs": route.aim_ms,
+                    "priority": route.priority,
                     "service": SERVICE,
                     "maxAttempts": 2,
                 }
+                for route in routes
             ],
             "services": [
                 {
@@ -363,7 +381,11 @@
 
 @asynccontextmanager
 async def running_bed(
-    record: Record, *, entries: int, sidecars: int
+    record: Record,
+    *,
+    entries: int,
+    sidecars: int,
+    routes: tuple[Route, ...] = (PRICE_BOARD,),
 ) -> AsyncIterator[Bed]:
     """Yield a deployment whose daemons run; all end with the context."""
     async with AsyncExitStack() as stack:
@@ -374,7 +396,7 @@
         bed.store = await stack.enter_async_context(
             metadata_store(bed.store_address, telemetry)
         )
-        await bed.write_configuration(1, 15_000)
+        await bed.write_configuration(1, 15_000, routes)
         router = PacketRouter(
             [entry.ip for entry in bed.entries],
             bed.ports.packets,
--- a/review/bed3/ends.py
+++ b/review/bed3/ends.py
@@ -6,7 +6,7 @@
 from cranberryhold.flows.segments import Endpoint, Segment, sequence_distance
 from cranberryhold.platform.packets import ACK, FIN, RST
 from emulator.flow_callers import CallerFlow, CallerHost, Outcome
-from emulator.flow_target import PROCESSING_TIME_S, FlowTarget
+from emulator.flow_target import CONCURRENCY, PROCESSING_TIME_S, FlowTarget
 
 ANSWER_BYTES = 200
 
@@ -39,6 +39,9 @@
     """
 
     frozen = False
+    # Seconds for a request, None for the times of the stand-in without a limit on the
+    # requests that run at once.
+    work_s: float | None = None
 
     def _read(self) -> None:
         if not self.frozen:
@@ -75,13 +78,24 @@
             self._answer(segment, FIN | ACK, flow.next_sequence, end + 1)
         elif segment.length and segment.sequence == flow.expected:
             flow.expected = end % 2**32
-            delay_s = self._random.uniform(*PROCESSING_TIME_S)
-            loop = asyncio.get_running_loop()
-            loop.call_later(delay_s, self._send_response, segment, flow)
+            self._run(segment, flow)
         elif segment.length and flow.answer is not None:
             sequence, body = flow.answer
             self._answer(segment, ACK, sequence, flow.expected, body)
 
+    def _run(self, segment: Segment, flow: Flow) -> None:
+        """Run a request when a slot is free, in the order of arrival."""
+        loop = asyncio.get_running_loop()
+        delay_s = self._random.uniform(*PROCESSING_TIME_S)
+        if self.work_s is not None:
+            now = loop.time()
+            work_s = self.work_s * self._random.uniform(0.5, 1.5)
+            free_at = self.__dict__.setdefault("_free_at", [0.0] * CONCURRENCY)
+            slot = min(range(CONCURRENCY), key=free_at.__getitem__)
+            free_at[slot] = max(now, free_at[slot]) + work_s
+            delay_s = free_at[slot] - now
+        loop.call_later(delay_s, self._send_response, segment, flow)
+
     def _send_response(self, segment: Segment, flow: Flow) -> None:
         if self.alive:
             body = f"{segment.sequence} ".encode().ljust(ANSWER_BYTES, b".")
