--- a/review/bed3/bed.py
+++ b/review/bed3/bed.py
@@ -168,6 +168,7 @@
     :param processes: starts the daemons.
     :param entries: number of entry daemons.
     :param sidecars: number of sidecars.
+    :param heartbeat_interval_s: seconds between heartbeats of targets.
     """
 
     def __init__(
@@ -177,8 +178,10 @@
         processes: ProcessManager,
         entries: int,
         sidecars: int,
+        heartbeat_interval_s: float,
     ) -> None:
         self.record = record
+        self._heartbeat_interval_s = heartbeat_interval_s
         self.random = Random()
         self.observer = Observer(record)
         self.store: MetadataStore
@@ -268,14 +271,15 @@
         machine: Machine,
         name: str,
         kind: type[Target] = Target,
+        ahead_s: float = 0.0,
     ) -> Target:
-        """Return a target that starts now."""
+        """Return a target that starts now, on a machine whose clock is ahead."""
         return kind(
             name,
             SERVICE,
             machine.ip,
             self.ports,
-            started_ms=time.time_ns() // 1_000_000,
+            started_ms=time.time_ns() // 1_000_000 + round(ahead_s * 1000),
             observer=self.observer,
             random=self.random,
         )
@@ -352,7 +356,7 @@
             "dataDir": None,
             "discovery": "local",
             "entryType": "announce",
-            "heartbeatIntervalMs": round(HEARTBEAT_INTERVAL_S * 1000),
+            "heartbeatIntervalMs": round(self._heartbeat_interval_s * 1000),
             "contracts": [
                 "base",
                 "drain",
@@ -386,12 +390,15 @@
     entries: int,
     sidecars: int,
     routes: tuple[Route, ...] = (PRICE_BOARD,),
+    heartbeat_interval_s: float = HEARTBEAT_INTERVAL_S,
 ) -> AsyncIterator[Bed]:
     """Yield a deployment whose daemons run; all end with the context."""
     async with AsyncExitStack() as stack:
         directory = stack.enter_context(tempfile.TemporaryDirectory())
         processes = await stack.enter_async_context(process_manager())
-        bed = Bed(record, Path(directory), processes, entries, sidecars)
+        bed = Bed(
+            record, Path(directory), processes, entries, sidecars, heartbeat_interval_s
+        )
         telemetry = Telemetry("store", _NullLog(), time.monotonic)
         bed.store = await stack.enter_async_context(
             metadata_store(bed.store_address, telemetry)
