--- a/review/bed3/bed.py
+++ b/review/11/bed3/bed.py
@@ -20,6 +20,7 @@
 from random import Random
 from typing import NamedTuple
 
+from bed3.ends import Caller, Target, new_flow
 from cranberryhold.addresses import Address
 from cranberryhold.flows.segments import Endpoint, Segment
 from cranberryhold.flows.telemetry import Telemetry
@@ -28,7 +29,6 @@
 from emulator.metadata_store import MetadataStore, metadata_store
 from emulator.packet_router import PacketRouter
 from emulator.platform_files import MachinePorts
-from review.bed3.ends import Caller, Target, new_flow
 from tools.processes import (
     ProcessManager,
     RunningProcess,
@@ -36,10 +36,10 @@
     process_manager,
 )
 
-ROOT = Path(__file__).resolve().parents[2]
+ROOT = Path(__file__).resolve().parents[3]
 ZONE = "baneshwor"
 REGION = "kathmandu-valley"
-ROUTE_IP, ROUTE_PORT = "198.18.0.1", 443
+ROUTE_IP, ROUTE_PORT = "127.198.0.1", 443
 ROUTE = service_endpoint(ROUTE_IP, ROUTE_PORT)
 SERVICE = "khata-core"
 # The platform starts an ended process again after a short delay.
--- a/review/11/case.py
+++ b/review/11/case.py
@@ -5,8 +5,7 @@
 import time
 from pathlib import Path
 
-from emulator.flow_callers import Outcome
-from review.bed3.bed import (
+from bed3.bed import (
     BOUNDS,
     Bed,
     Record,
@@ -15,7 +14,9 @@
     run_case,
     running_bed,
 )
-from review.bed3.ends import Caller
+from bed3.ends import Caller
+
+from emulator.flow_callers import Outcome
 
 FLOWS = 24
 # The dose of `node_freeze` in the site file of khata-lb.
